--- a/ryespan/adapter.py
+++ b/paddlequay/adapter.py
@@ -6,13 +6,11 @@
 from collections.abc import Callable
 from typing import Any, TextIO, TypeVar
 
-from ryespan.control import Router
-from ryespan.interface import (
+from paddlequay.interface import (
     Action,
     AttemptEnded,
     Cancel,
     ClientGone,
-    Effect,
     Event,
     Fail,
     Fetch,
@@ -22,10 +20,8 @@
     Note,
     Outcome,
     Purged,
-    Ramp,
     Refuse,
     Request,
-    RequestClass,
     SetTimer,
     Settings,
     Started,
@@ -33,9 +29,10 @@
     Subscribe,
     TimerDue,
 )
+from paddlequay.logic import Router
+from paddlequay.settings import SettingsError, settings_from
 
 T = TypeVar("T")
-EFFECTS = {"read_like": Effect.SAFE, "idempotency_key": Effect.KEYED, "non_idempotent": Effect.UNSAFE}
 STATES = {"IN": State.READY, "LAME": State.DRAINING, "OUT": State.GONE}
 OUTCOMES = {
     "served": Outcome.SERVED,
@@ -64,6 +61,16 @@
     router: str | None = None
 
 
+def read_settings(text: str) -> Settings:
+    """The JSON object of `provision`."""
+    try:
+        return settings_from(json.loads(text))
+    except json.JSONDecodeError as error:
+        raise WireError(f"settings: expected a JSON object: {error}") from None
+    except SettingsError as error:
+        raise WireError(str(error)) from None
+
+
 class Fields:
     """The name=value pairs of one line, read with a type each."""
 
@@ -132,101 +139,6 @@
     return NOTES.get(text)
 
 
-def read_settings(text: str) -> Settings:
-    """The JSON object of `provision`; keys not known are skipped."""
-    try:
-        data = json.loads(text)
-    except json.JSONDecodeError as error:
-        raise WireError(f"settings: expected a JSON object: {error}") from None
-    if not isinstance(data, dict):
-        raise WireError("settings: expected a JSON object")
-
-    def get(path: str, kind: type[T], where: Any = data) -> T | None:
-        for step in path.split("."):
-            where = where.get(step) if isinstance(where, dict) else None
-        if where is None:
-            return None
-        if kind is float and isinstance(where, int) and not isinstance(where, bool):
-            where = float(where)
-        if not isinstance(where, kind) or (kind is not bool and isinstance(where, bool)):
-            raise WireError(f"settings: {path}: expected {kind.__name__}, got {where!r}")
-        return where
-
-    def need(path: str, kind: type[T], where: Any = data) -> T:
-        value = get(path, kind, where)
-        if value is None:
-            raise WireError(f"settings: {path} is missing")
-        return value
-
-    def at(path: str, place: int, kind: type[T]) -> T | None:
-        values = get(path, list)
-        return get("item", kind, {"item": values[place]}) if values and 0 <= place < len(values) else None
-
-    def kind_name(path: str) -> str | None:
-        place = get(path, int)
-        return None if place is None else at("kinds", place, str)
-
-    def effect(item: Any) -> Effect:
-        word = need("idempotency", str, item)
-        if word not in EFFECTS:
-            raise WireError(f"settings: idempotency: expected one of {', '.join(EFFECTS)}, got {word!r}")
-        return EFFECTS[word]
-
-    classes = tuple(
-        RequestClass(
-            name=need("name", str, item),
-            aim=need("aim", float, item),
-            deadline=need("deadline", float, item),
-            effect=effect(item),
-            worth=get("worth", float, item),
-            aim_stretch=get("aimStretch", float, item),
-            repeat_group=get("dedupScope", str, item),
-            repeat_window=get("window", float, item),
-            fresh=at("extra.classFresh", place, float),
-            grace=at("extra.staleFor", place, float),
-            uncacheable=at("extra.goesThrough", place, bool),
-        )
-        for place, item in enumerate(need("classes", list))
-    )
-    discovery = get("discovery", str)
-    zone = need("locality", str)
-    zones = get("localities", list) or []
-    detail = get("extra.detail", str)
-    return Settings(
-        zone=zone,
-        classes=classes,
-        routers=get("groupSize", int),
-        routers_here=at("extra.countByZone", zones.index(zone), int) if zone in zones else None,
-        parent_kind=kind_name("extra.parentKind"),
-        origin_kind=kind_name("extra.rootKind"),
-        siblings=get("extra.peersFill", str),
-        direct=get("extra.bypassAllowed", bool),
-        joins=get("extra.mergesFills", bool),
-        notes=None if detail is None else detail == "all",
-        flow_kb_per_s=get("extra.oneFlowKbPerS", float),
-        weights=get("weights", str),
-        parallel=get("limits.parallelTries", bool),
-        can_cancel=get("limits.cancel", bool),
-        max_attempts=get("limits.attemptsCap", int),
-        max_retry_after=get("limits.maxRetryAfter", float) if get("limits.retryAfter", bool) else None,
-        must_ask=None if discovery is None else discovery == "subscribe",
-        ask_within=get("rules.askWithin", float),
-        cold_edge=Ramp(
-            get("rules.coldFrom", float),
-            get("rules.cold", float),
-            get("rules.fallMultiple", float),
-            get("rules.fall", float),
-        ),
-        cold_parent=Ramp(
-            get("extra.parentStartsAt", float),
-            get("extra.parentCold", float),
-            get("extra.parentBreaksAt", float),
-            get("rules.fall", float),
-        ),
-        purge_done=get("extra.clearedWithin", float),
-    )
-
-
 def read_member(fields: Fields) -> Member:
     """One `entry` line."""
     return Member(
@@ -379,7 +291,7 @@
         try:
             reply = host.batch(lines)
         except WireError as error:
-            print(f"ryespan: {error}", file=sys.stderr)
+            print(f"paddlequay: {error}", file=sys.stderr)
             if error.router is not None:
                 print(f"bug\trouter={error.router}\ttext={error}\nack", file=sink, flush=True)
             return 1
@@ -387,7 +299,7 @@
         sink.write("\n".join([*reply, "ack"]) + "\n")
         sink.flush()
     if lines:
-        print("ryespan: the input ends inside a batch: expected your_turn", file=sys.stderr)
+        print("paddlequay: the input ends inside a batch: expected your_turn", file=sys.stderr)
         return 1
     return 0
 
--- /dev/null
+++ b/paddlequay/config.py
@@ -0,0 +1,143 @@
+"""What the router is told at its start, from environment and JSON file, and the limits that follow."""
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+from paddlequay.interface import Settings
+from paddlequay.settings import SettingsError, settings_from
+
+Address = tuple[str, int]
+
+
+class ConfigError(ValueError):
+    """A configuration that cannot be used, said in one plain line."""
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """Every size, count and time of the program outside the decisions; filled once and handed down.
+
+    Times are seconds, sizes are bytes.
+    """
+
+    # Clients.
+    client_connections: int = 341
+    client_streams: int = 32
+    client_frame: int = 64 * 1024
+    client_unsent: int = 12 * 1024 * 1024
+    all_unsent: int = 48 * 1024 * 1024
+    client_stall: float = 10.0
+    open_requests: int = 20000
+    answer_margin: float = 0.025  # of the time to live: the way from and to the client
+    busy_pushback: float = 0.2  # told where the router itself, not the decisions, turns a request away
+    # Caches.
+    connect_timeout: float = 0.4
+    cache_streams: int = 32
+    cache_connections: int = 8  # to one instance
+    cache_idle: float = 24.0
+    cache_line: int = 4096
+    cache_object: int = 240_000
+    cache_unsent: int = 4 * 1024 * 1024
+    least_budget: float = 0.002  # less time left than this and nothing is written any more
+    attempts: int = 6
+    purge_memory: float = 6.0
+    # The bulletin.
+    bulletin_line: int = 4 * 1024 * 1024
+    bulletin_silence: float = 2.5  # heartbeats come every second
+    bulletin_connect: float = 1.0
+    bulletin_pause: float = 0.2
+    # The end.
+    accept_after_term: float = 0.5
+    serve_after_term: float = 0.75
+    drain_longest: float = 6.6
+    flush_longest: float = 0.5
+    # All sockets.
+    read_chunk: int = 64 * 1024
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """One router's configuration."""
+
+    name: str
+    listen: Address
+    bulletin: Address
+    seed: int
+    settings: Settings
+    known: Mapping[str, Any]
+    limits: Limits = field(default_factory=Limits)
+
+
+def address(text: Any, name: str) -> Address:
+    """`host:port` as a pair."""
+    host, colon, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
+    if not (colon and host and port.isdigit() and 0 <= int(port) < 65536):
+        raise ConfigError(f"{name}: expected host:port, got {text!r}")
+    return host, int(port)
+
+
+def positive(data: Mapping[str, Any], path: str, default: float) -> float:
+    """A figure above 0 at a dotted path, or the default where none is told."""
+    where: Any = data
+    for step in path.split("."):
+        where = where.get(step) if isinstance(where, Mapping) else None
+    if where is None:
+        return default
+    if isinstance(where, bool) or not isinstance(where, int | float) or not where > 0:
+        raise ConfigError(f"{path}: expected a number above 0, got {where!r}")
+    return float(where)
+
+
+def limits_from(data: Mapping[str, Any], settings: Settings) -> Limits:
+    """The limits that deployment and settings tell; the rest are the program's own."""
+    sockets = positive(data, "limits.sockets", 1024)
+    memory = positive(data, "limits.memory_mb", 192) * 1024 * 1024
+    wire = data["settings"]
+    keepalive = positive(wire, "limits.keepalive", 30.0)
+    return Limits(
+        client_connections=max(1, int(sockets / 3) - 1),
+        all_unsent=int(memory / 4),
+        client_unsent=int(memory / 16),
+        open_requests=int(positive(wire, "limits.maxOpen", 20000)),
+        connect_timeout=positive(wire, "limits.dialTimeout", 0.4),
+        cache_streams=int(positive(wire, "limits.streamsPerConn", 32)),
+        cache_idle=0.8 * keepalive,
+        attempts=int(positive(wire, "limits.attemptsCap", 6)),
+        purge_memory=positive(wire, "extra.clearedWithin", 6.0),
+        drain_longest=max(3.0, max(kind.deadline for kind in settings.classes)) + 0.6,
+    )
+
+
+def read_config(environment: Mapping[str, str]) -> Config:
+    """The configuration named by `ROUTER_CONFIG`; `ROUTER_NAME` and `ROUTER_LISTEN` come first where set."""
+    path = environment.get("ROUTER_CONFIG")
+    if not path:
+        raise ConfigError("ROUTER_CONFIG is not set")
+    try:
+        with open(path, encoding="utf-8") as file:
+            data = json.load(file)
+    except (OSError, ValueError) as error:
+        raise ConfigError(f"{path}: {error}") from None
+    if not isinstance(data, dict) or not isinstance(data.get("settings"), dict):
+        raise ConfigError(f"{path}: expected a JSON object with settings")
+    known = data.get("known") or {"no": 0, "items": []}
+    if not (isinstance(known, dict) and isinstance(known.get("items"), list)):
+        raise ConfigError("known: expected an object with no and items")
+    try:
+        settings = settings_from(data["settings"])
+        seed = int(str(data.get("seed") or "0"), 16)
+    except SettingsError as error:
+        raise ConfigError(str(error)) from None
+    except ValueError:
+        raise ConfigError(f"seed: expected hex digits, got {data.get('seed')!r}") from None
+    return Config(
+        name=environment.get("ROUTER_NAME") or str(data.get("name", "router")),
+        listen=address(environment.get("ROUTER_LISTEN") or data.get("listen"), "listen"),
+        bulletin=address(data.get("bulletin"), "bulletin"),
+        seed=seed,
+        settings=settings,
+        known=known,
+        limits=limits_from(data, settings),
+    )
--- a/ryespan/control.py
+++ b/paddlequay/logic.py
@@ -1,4 +1,4 @@
-"""Every decision of a router for a two-tier cache. Its types, events and actions: `ryespan/interface.py`.
+"""Every decision of a router for a two-tier cache. Its types, events and actions: `paddlequay/interface.py`.
 
 Ordinary path (Owl's hot-cold policy, companion hashes; docs/design.md): the edge is a hash of object and
 part, a miss is filled by way of the hashed parent, a sibling seen holding the object comes first, hot objects
@@ -12,7 +12,7 @@
 from enum import Enum
 from hashlib import blake2b
 
-from ryespan.interface import (
+from paddlequay.interface import (
     Action,
     AttemptEnded,
     Cancel,
--- /dev/null
+++ b/paddlequay/settings.py
@@ -0,0 +1,103 @@
+"""The platform's settings object, alike on the simulator's wire and in the configuration file."""
+
+from typing import Any, TypeVar
+
+from paddlequay.interface import Effect, Ramp, RequestClass, Settings
+
+T = TypeVar("T")
+EFFECTS = {"read_like": Effect.SAFE, "idempotency_key": Effect.KEYED, "non_idempotent": Effect.UNSAFE}
+
+
+class SettingsError(ValueError):
+    """Settings that cannot be used, with the path of the field and what was expected there."""
+
+
+def settings_from(data: Any) -> Settings:
+    """What the settings tell the decisions; keys not known are skipped."""
+    if not isinstance(data, dict):
+        raise SettingsError("settings: expected a JSON object")
+
+    def get(path: str, kind: type[T], where: Any = data) -> T | None:
+        for step in path.split("."):
+            where = where.get(step) if isinstance(where, dict) else None
+        if where is None:
+            return None
+        if kind is float and isinstance(where, int) and not isinstance(where, bool):
+            where = float(where)
+        if not isinstance(where, kind) or (kind is not bool and isinstance(where, bool)):
+            raise SettingsError(f"settings: {path}: expected {kind.__name__}, got {where!r}")
+        return where
+
+    def need(path: str, kind: type[T], where: Any = data) -> T:
+        value = get(path, kind, where)
+        if value is None:
+            raise SettingsError(f"settings: {path} is missing")
+        return value
+
+    def at(path: str, place: int, kind: type[T]) -> T | None:
+        values = get(path, list)
+        return get("item", kind, {"item": values[place]}) if values and 0 <= place < len(values) else None
+
+    def kind_name(path: str) -> str | None:
+        place = get(path, int)
+        return None if place is None else at("kinds", place, str)
+
+    def effect(item: Any) -> Effect:
+        word = need("idempotency", str, item)
+        if word not in EFFECTS:
+            raise SettingsError(f"settings: idempotency: expected one of {', '.join(EFFECTS)}, got {word!r}")
+        return EFFECTS[word]
+
+    classes = tuple(
+        RequestClass(
+            name=need("name", str, item),
+            aim=need("aim", float, item),
+            deadline=need("deadline", float, item),
+            effect=effect(item),
+            worth=get("worth", float, item),
+            aim_stretch=get("aimStretch", float, item),
+            repeat_group=get("dedupScope", str, item),
+            repeat_window=get("window", float, item),
+            fresh=at("extra.classFresh", place, float),
+            grace=at("extra.staleFor", place, float),
+            uncacheable=at("extra.goesThrough", place, bool),
+        )
+        for place, item in enumerate(need("classes", list))
+    )
+    discovery = get("discovery", str)
+    zone = need("locality", str)
+    zones = get("localities", list) or []
+    detail = get("extra.detail", str)
+    return Settings(
+        zone=zone,
+        classes=classes,
+        routers=get("groupSize", int),
+        routers_here=at("extra.countByZone", zones.index(zone), int) if zone in zones else None,
+        parent_kind=kind_name("extra.parentKind"),
+        origin_kind=kind_name("extra.rootKind"),
+        siblings=get("extra.peersFill", str),
+        direct=get("extra.bypassAllowed", bool),
+        joins=get("extra.mergesFills", bool),
+        notes=None if detail is None else detail == "all",
+        flow_kb_per_s=get("extra.oneFlowKbPerS", float),
+        weights=get("weights", str),
+        parallel=get("limits.parallelTries", bool),
+        can_cancel=get("limits.cancel", bool),
+        max_attempts=get("limits.attemptsCap", int),
+        max_retry_after=get("limits.maxRetryAfter", float) if get("limits.retryAfter", bool) else None,
+        must_ask=None if discovery is None else discovery == "subscribe",
+        ask_within=get("rules.askWithin", float),
+        cold_edge=Ramp(
+            get("rules.coldFrom", float),
+            get("rules.cold", float),
+            get("rules.fallMultiple", float),
+            get("rules.fall", float),
+        ),
+        cold_parent=Ramp(
+            get("extra.parentStartsAt", float),
+            get("extra.parentCold", float),
+            get("extra.parentBreaksAt", float),
+            get("rules.fall", float),
+        ),
+        purge_done=get("extra.clearedWithin", float),
+    )
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -4,8 +4,7 @@
 
 import pytest
 
-from ryespan.control import LIMIT_CHANCE, LIMIT_START, SKIP_FAILURES, TRIAL_DELAY_S, Router
-from ryespan.interface import (
+from paddlequay.interface import (
     AttemptEnded,
     ClientGone,
     Effect,
@@ -20,6 +19,7 @@
     Settings,
     State,
 )
+from paddlequay.logic import LIMIT_CHANCE, LIMIT_START, SKIP_FAILURES, TRIAL_DELAY_S, Router
 
 PAGES = RequestClass("pages", 0.3, 2.5, Effect.SAFE, aim_stretch=2.0, fresh=8.0, grace=30.0)
 WORK = 0.15  # as the module takes it to be before it has seen a size: each request costs 1
--- a/tests/test_control.py
+++ b/tests/test_logic.py
@@ -2,18 +2,7 @@
 
 import pytest
 
-from ryespan.control import (
-    BUDGET_RESERVE,
-    BUDGET_SHARE,
-    HOT_WINDOW_S,
-    PURGES_MOST,
-    RANK_LOW,
-    RANK_TOP,
-    SKIP_FAILURES,
-    TRIAL_DELAY_S,
-    Router,
-)
-from ryespan.interface import (
+from paddlequay.interface import (
     Action,
     AttemptEnded,
     Cancel,
@@ -36,6 +25,17 @@
     Subscribe,
     TimerDue,
 )
+from paddlequay.logic import (
+    BUDGET_RESERVE,
+    BUDGET_SHARE,
+    HOT_WINDOW_S,
+    PURGES_MOST,
+    RANK_LOW,
+    RANK_TOP,
+    SKIP_FAILURES,
+    TRIAL_DELAY_S,
+    Router,
+)
 
 SAFE = RequestClass("pages", aim=0.3, deadline=2.5, effect=Effect.SAFE, fresh=8.0, grace=30.0)
 KEYED = RequestClass(
--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -3,8 +3,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from ryespan.control import Router
-from ryespan.interface import (
+from paddlequay.interface import (
     Action,
     AttemptEnded,
     Cancel,
@@ -24,6 +23,7 @@
     Settings,
     State,
 )
+from paddlequay.logic import Router
 
 WINDOW = 1.5
 CLASSES = (
