--- a/paddlequay/config.py
+++ b/paddlequay/config.py
@@ -39,7 +39,6 @@
     cache_idle: float = 24.0
     cache_line: int = 4096
     cache_object: int = 240_000
-    cache_unsent: int = 4 * 1024 * 1024
     least_budget: float = 0.002  # less time left than this and nothing is written any more
     attempts: int = 6
     purge_memory: float = 6.0
--- /dev/null
+++ b/paddlequay/exchange.py
@@ -0,0 +1,427 @@
+"""The core between a front, the decisions and the caches. It executes what is decided and holds the rules.
+
+It owns every open request and its attempts, from the moment a front hands a request in until the one final
+answer goes back by the request's callback. It knows no protocol and no socket: a front speaks to it with
+`Ask` and `Reply`, the caches' side with `Attempt`, `Order` and `End`, discovery with `Member` and purges.
+"""
+
+import logging
+import math
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Protocol
+
+from paddlequay import log
+from paddlequay.config import Limits
+from paddlequay.counters import Counters
+from paddlequay.interface import (
+    Action,
+    AttemptEnded,
+    Cancel,
+    ClientGone,
+    Event,
+    Fail,
+    Fetch,
+    Log,
+    Member,
+    MembersChanged,
+    Note,
+    Outcome,
+    Purged,
+    Refuse,
+    Request,
+    SetTimer,
+    State,
+    Subscribe,
+    TimerDue,
+)
+from paddlequay.logic import Router
+
+LOGGER = logging.getLogger(__name__)
+
+Buffer = bytes | bytearray | memoryview
+
+
+class Verdict(Enum):
+    """What a final answer says."""
+
+    SERVED = "served"
+    UNCHANGED = "unchanged"  # the client's own copy is the one
+    REFUSED = "refused"
+    FAILED = "failed"
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """A client's request in no protocol's terms; `name` is the object as passed on, `key` its number."""
+
+    id: str
+    class_name: str
+    ttl: float
+    name: str
+    key: int
+    part: int | None
+    group: int | None
+    body: Buffer = b""
+    known: str | None = None
+    retry: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """The final answer."""
+
+    verdict: Verdict
+    body: Buffer = b""
+    retry_in: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Order:
+    """What an attempt tells its target, as it stands at the moment of writing."""
+
+    id: str
+    class_name: str
+    name: str
+    part: int | None
+    body: Buffer
+    known: str | None
+    budget: float
+    source: str | None
+    keep: int
+    max_age: float | None
+    join: bool
+    only_held: bool
+    renew: bool
+
+
+@dataclass(frozen=True, slots=True)
+class End:
+    """How an attempt ended."""
+
+    outcome: Outcome
+    body: Buffer = b""
+    unchanged: bool = False
+    note: Note | None = None
+    waited: float | None = None
+    load: tuple[tuple[str, float], ...] = ()
+
+
+class Timer(Protocol):
+    """A timer that can be taken back."""
+
+    def cancel(self) -> None: ...
+
+
+class Scheduler(Protocol):
+    """The clocks and timers: `monotonic` for durations, `unix` for the times of the rules."""
+
+    def monotonic(self) -> float: ...
+    def unix(self) -> float: ...
+    def later(self, delay: float, call: Callable[[], None]) -> Timer: ...
+
+
+class Carrier(Protocol):
+    """What has taken charge of an attempt, such as a connection."""
+
+    def abandon(self, attempt: "Attempt") -> None: ...
+
+
+class Caches(Protocol):
+    """The side that carries attempts to caches; it names itself or a part of it as their carrier."""
+
+    def start(self, attempt: "Attempt") -> None: ...
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """One attempt: waiting to be written, out, or over."""
+
+    owner: "Open"
+    number: int
+    fetch: Fetch
+    began: float
+    expires: float
+    timer: Timer | None = None
+    carrier: Carrier | None = None
+    written: float | None = None
+    over: bool = False
+
+    @property
+    def id(self) -> str:
+        return self.owner.ask.id
+
+
+@dataclass(slots=True, eq=False)
+class Open:
+    """A request that is owed its final answer."""
+
+    serial: str
+    ask: Ask
+    reply: Callable[[Reply], None]
+    taken: float
+    deadline: float
+    guard: Timer | None = None
+    attempts: list[Attempt] = field(default_factory=list)
+
+
+class Exchange:
+    """Open requests, timers, events in, actions out."""
+
+    def __init__(self, router: Router, limits: Limits, scheduler: Scheduler, counters: Counters) -> None:
+        self.router = router
+        self.limits = limits
+        self.scheduler = scheduler
+        self.counters = counters
+        self.caches: Caches | None = None
+        self.open: dict[str, Open] = {}
+        self.members: dict[str, Member] = {}
+        self.purges: dict[tuple[str, int | None], float] = {}
+        self.serials = 0
+        self.queue: deque[Event] = deque()
+        self.running = False
+        # One clock for the decisions: it never goes back, and list entries' Unix start times stand on it.
+        self.offset = scheduler.unix() - scheduler.monotonic()
+
+    # --- from the front ---
+
+    def ask(self, ask: Ask, reply: Callable[[Reply], None]) -> Open | None:
+        """Take a request; `reply` is called exactly once, unless `withdraw` comes first."""
+        now = self.scheduler.monotonic()
+        self.counters.add(f"asked.{ask.class_name}")
+        if len(self.open) >= self.limits.open_requests:
+            self.counters.add("refused.too_many_open")
+            reply(Reply(Verdict.REFUSED, retry_in=self.limits.busy_pushback))
+            return None
+        self.serials += 1
+        left = ask.ttl - self.limits.answer_margin
+        item = Open(f"q{self.serials}", ask, reply, now, now + left)
+        self.open[item.serial] = item
+        # Whatever the decisions do, one final answer goes out before the client gives up.
+        item.guard = self.scheduler.later(max(0.0, left) + 0.004, lambda: self.overdue(item))
+        self.deliver(
+            Request(
+                id=item.serial,
+                class_name=ask.class_name,
+                left=left,
+                key=ask.key,
+                part=ask.part,
+                group=ask.group,
+                retry=ask.retry,
+            )
+        )
+        return item
+
+    def withdraw(self, item: Open) -> None:
+        """The client no longer waits: nothing is owed, and what is out is given up."""
+        if item.serial in self.open:
+            self.counters.add("withdrawn")
+            self.forget(item)
+            self.deliver(ClientGone(item.serial))
+
+    def overdue(self, item: Open) -> None:
+        if item.serial in self.open:
+            self.counters.add("overdue")
+            self.finish(item, Reply(Verdict.FAILED))
+            self.deliver(ClientGone(item.serial))
+
+    # --- from discovery ---
+
+    def list_changed(self, members: tuple[Member, ...], full: bool) -> None:
+        """The list, or changes to it; holds for all that is not written yet."""
+        if full:
+            self.members.clear()
+        for member in members:
+            self.members[member.name] = member
+        self.deliver(MembersChanged(members, full))
+
+    def purged(self, key: int | None, group: int | None, issued: float) -> None:
+        """An object or a group was purged at `issued`, in Unix seconds."""
+        place = ("group", group) if key is None else ("key", key)
+        self.purges[place] = max(issued, self.purges.pop(place, -math.inf))
+        now = self.scheduler.unix()
+        for old in [old for old, at in self.purges.items() if now - at > self.limits.purge_memory + 1.0]:
+            del self.purges[old]
+        self.deliver(Purged(max(0.0, now - issued), group, key))
+
+    # --- from the caches' side ---
+
+    def order(self, attempt: Attempt) -> Order | None:
+        """What to write, asked at the moment of writing; None when it must not be written any more.
+
+        A decision may be written late, after a connection came up or a socket took bytes again. What held
+        when it was made is looked at once more: drains of target and source, purges, and the time left.
+        """
+        if attempt.over:
+            return None
+        item, fetch = attempt.owner, attempt.fetch
+        left = attempt.expires - self.scheduler.monotonic()
+        names = {fetch.target, fetch.source}
+        if left < self.limits.least_budget or not all(map(self.usable, names)):
+            self.counters.add("not_sent")
+            self.end(attempt, End(Outcome.NOT_SENT))
+            return None
+        ask = item.ask
+        return Order(
+            id=ask.id,
+            class_name=ask.class_name,
+            name=ask.name,
+            part=ask.part,
+            body=ask.body,
+            known=ask.known,
+            budget=left,
+            source=None if fetch.source == fetch.target else fetch.source,
+            keep=fetch.keep,
+            max_age=self.max_age(ask, fetch.max_age),
+            join=fetch.join,
+            only_held=fetch.only_held,
+            renew=fetch.renew,
+        )
+
+    def usable(self, name: str) -> bool:
+        member = self.members.get(name)
+        return member is not None and member.state in (None, State.READY)
+
+    def max_age(self, ask: Ask, decided: float | None) -> float | None:
+        """The age limit that was decided, made narrower by purges that came since."""
+        now = self.scheduler.unix()
+        at = max(
+            self.purges.get(("key", ask.key), -math.inf), self.purges.get(("group", ask.group), -math.inf)
+        )
+        if now - at > self.limits.purge_memory:
+            return decided
+        return min(math.inf if decided is None else decided, max(0.001, now - at))
+
+    def written(self, attempt: Attempt) -> None:
+        attempt.written = self.scheduler.monotonic()
+        self.counters.add("sent")
+
+    def end(self, attempt: Attempt, end: End) -> None:
+        """An attempt's end; the first `SERVED` is the request's final answer."""
+        if attempt.over:
+            return
+        now = self.scheduler.monotonic()
+        attempt.over = True
+        if attempt.timer is not None:
+            attempt.timer.cancel()
+        item = attempt.owner
+        self.counters.add(f"ended.{end.outcome.value.replace(' ', '_')}")
+        final = end.outcome is Outcome.SERVED and item.serial in self.open
+        if final:
+            verdict = Verdict.UNCHANGED if end.unchanged else Verdict.SERVED
+            self.finish(item, Reply(verdict, end.body))
+        self.deliver(
+            AttemptEnded(
+                request=item.serial,
+                attempt=attempt.number,
+                target=attempt.fetch.target,
+                outcome=end.outcome,
+                latency=now - attempt.began,
+                final=final,
+                note=end.note,
+                waited=end.waited,
+                load=end.load,
+            )
+        )
+
+    # --- events in, actions out ---
+
+    def deliver(self, event: Event) -> None:
+        """Hand an event to the decisions and carry out what they ask; events that follow wait their turn."""
+        self.queue.append(event)
+        if self.running:
+            return
+        self.running = True
+        try:
+            while self.queue:
+                event = self.queue.popleft()
+                try:
+                    for action in self.router.handle(event, self.scheduler.monotonic() + self.offset):
+                        self.carry_out(action)
+                except Exception:
+                    # One request's failure never stops the program: it is answered, the others go on.
+                    if self.counters.add_once("decision_errors"):
+                        LOGGER.exception("decision_failed", extra={"fields": {"on": type(event).__name__}})
+                    self.abort(event)
+        finally:
+            self.running = False
+
+    def abort(self, event: Event) -> None:
+        name = event.id if isinstance(event, Request) else getattr(event, "request", None)
+        item = self.open.get(name) if name else None
+        if item is not None:
+            self.finish(item, Reply(Verdict.FAILED))
+            self.queue.append(ClientGone(item.serial))
+
+    def carry_out(self, action: Action) -> None:
+        match action:
+            case Fetch():
+                self.fetch(action)
+            case Cancel():
+                self.cancel(action)
+            case Refuse():
+                if action.request in self.open:
+                    self.finish(self.open[action.request], Reply(Verdict.REFUSED, retry_in=action.retry_in))
+            case Fail():
+                if action.request in self.open:
+                    self.finish(self.open[action.request], Reply(Verdict.FAILED))
+            case SetTimer():
+                token = action.token
+                self.scheduler.later(action.delay, lambda: self.deliver(TimerDue(token)))
+            case Subscribe():
+                pass  # the bulletin is followed without asking
+            case Log():
+                log.event(LOGGER, logging.INFO, "decision", text=action.text)
+
+    def fetch(self, action: Fetch) -> None:
+        item = self.open.get(action.request)
+        if item is None:
+            return
+        now = self.scheduler.monotonic()
+        expires = item.deadline if not action.timeout else min(item.deadline, now + action.timeout)
+        attempt = Attempt(item, len(item.attempts), action, now, expires)
+        item.attempts.append(attempt)
+        if len(item.attempts) > self.limits.attempts or expires <= now or self.caches is None:
+            return self.end(attempt, End(Outcome.NOT_SENT))
+        attempt.timer = self.scheduler.later(expires - now, lambda: self.expire(attempt))
+        self.caches.start(attempt)
+
+    def expire(self, attempt: Attempt) -> None:
+        """Out of time: proved idle where it was never written, else it may have run."""
+        if not attempt.over:
+            ran = attempt.written is not None
+            self.drop(attempt)
+            self.end(attempt, End(Outcome.TIMEOUT if ran else Outcome.NOT_SENT))
+
+    def cancel(self, action: Cancel) -> None:
+        item = self.open.get(action.request)
+        if item is None or action.attempt >= len(item.attempts) or item.attempts[action.attempt].over:
+            return
+        attempt = item.attempts[action.attempt]
+        ran = attempt.written is not None
+        self.drop(attempt)
+        self.end(attempt, End(Outcome.CANCELLED if ran else Outcome.NOT_SENT))
+
+    def drop(self, attempt: Attempt) -> None:
+        if attempt.carrier is not None:
+            attempt.carrier.abandon(attempt)
+
+    def finish(self, item: Open, reply: Reply) -> None:
+        """The one final answer."""
+        self.forget(item)
+        self.counters.add(f"answered.{reply.verdict.value}")
+        item.reply(reply)
+
+    def forget(self, item: Open) -> None:
+        """The request is over; attempts that are still out are given up."""
+        del self.open[item.serial]
+        if item.guard is not None:
+            item.guard.cancel()
+        for attempt in item.attempts:
+            if not attempt.over:
+                attempt.over = True
+                if attempt.timer is not None:
+                    attempt.timer.cancel()
+                self.drop(attempt)
--- /dev/null
+++ b/paddlequay/net/caches.py
@@ -0,0 +1,303 @@
+"""Connections to caches, parents and the origin: few, shared by many attempts, one pool an instance."""
+
+import asyncio
+import logging
+import socket
+from collections import deque
+from collections.abc import Iterable
+
+from tornado.iostream import IOStream, StreamClosedError
+
+from paddlequay import log
+from paddlequay.config import Address, Limits
+from paddlequay.counters import Counters
+from paddlequay.exchange import Attempt, End, Exchange, Order
+from paddlequay.interface import Note, Outcome, State
+from paddlequay.protocol import caches as wire
+from paddlequay.protocol.bulletin import Listed
+
+LOGGER = logging.getLogger(__name__)
+
+OUTCOMES = {
+    "HIT": Outcome.SERVED,
+    "VALID": Outcome.SERVED,
+    "NONE": Outcome.MISS,
+    "SHED": Outcome.REFUSED,
+    "FAULT": Outcome.ERROR,
+    "LATE": Outcome.NOT_SENT,
+}
+NOTES = {
+    "HIT": Note.HIT,
+    "MISS": Note.FILLED,
+    "MISS_ORIGIN": Note.FILLED_FROM_ORIGIN,
+    "COLLAPSED": Note.JOINED,
+    "STALE": Note.OLD_COPY,
+    "UP_BUSY": Note.SOURCE_REFUSED,
+    "UP_DOWN": Note.SOURCE_UNREACHED,
+    "UP_MISS": Note.SOURCE_LACKS,
+    "NO_FILL": Note.FILLS_FULL,
+    "ORIGIN_ERR": Note.ORIGIN_FAILED,
+}
+
+
+def order_fields(order: Order) -> dict[str, str]:
+    """An order in the words of the caches' protocol; what has its default is left out."""
+    fields = {"queue": order.class_name, "path": order.name}
+    if order.part is not None:
+        fields["blk"] = str(order.part)
+    fields["budget"] = str(max(1, int(order.budget * 1000)))
+    if order.source is not None:
+        fields["via"] = order.source
+    if order.keep:
+        fields["tier"] = str(order.keep)
+    if order.max_age is not None:
+        fields["fresh"] = str(max(1, int(order.max_age * 1000)))
+    options = {"join": order.join, "held": order.only_held, "renew": order.renew}
+    if any(options.values()):
+        fields["opts"] = "+".join(word for word, wanted in options.items() if wanted)
+    if order.known is not None:
+        fields["known"] = order.known
+    return fields
+
+
+def read_load(text: str) -> tuple[tuple[str, float], ...]:
+    pairs = (pair.partition(":") for pair in text.split(";"))
+    return tuple((name, float(value)) for name, _, value in pairs)
+
+
+def read_end(answer: wire.Answer) -> End:
+    """An answer as the end of its attempt."""
+    try:
+        lag = answer.fields.get("lag")
+        return End(
+            outcome=OUTCOMES[answer.word],
+            body=answer.body,
+            unchanged=answer.word == "VALID",
+            note=NOTES.get(answer.fields.get("detail", "")),
+            waited=None if lag is None else float(lag) / 1000.0,
+            load=read_load(answer.fields["use"]) if answer.fields.get("use") else (),
+        )
+    except (KeyError, ValueError) as error:
+        raise wire.MalformedError(f"answer {answer.word}: {type(error).__name__} {error}") from None
+
+
+class Connection:
+    """One connection to an instance, with the attempts that wait for it and those that are out on it."""
+
+    def __init__(self, pool: "Pool", instance: "Instance") -> None:
+        self.pool, self.instance, self.limits = pool, instance, pool.limits
+        self.stream = IOStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
+        self.reader = wire.Reader(self.limits.cache_line, self.limits.cache_object)
+        self.waiting: deque[Attempt] = deque()
+        self.out: dict[str, Attempt] = {}
+        self.given_up: set[str] = set()
+        self.up = False
+        self.silent = False
+        self.heard = self.used = pool.now()
+
+    def takes(self, attempt: Attempt) -> bool:
+        """Room for it, on a connection that answers.
+
+        An id that was given up here never comes again on this connection: the answer to the first attempt may
+        be on its way, and nothing would tell it from the second's.
+        """
+        if self.stream.closed() or self.silent or attempt.id in self.out or attempt.id in self.given_up:
+            return False
+        if any(other.id == attempt.id for other in self.waiting):
+            return False
+        return len(self.out) + len(self.waiting) < self.limits.cache_streams
+
+    async def run(self) -> None:
+        """Connect, then read until the end."""
+        try:
+            await asyncio.wait_for(self.stream.connect(self.instance.address), self.limits.connect_timeout)
+        except (TimeoutError, StreamClosedError, OSError) as error:
+            self.pool.counters.add("connect_failed")
+            log.event(
+                LOGGER, logging.INFO, "connect_failed", to=self.instance.name, why=type(error).__name__
+            )
+            self.stream.close()
+            self.instance.forget(self)
+            for attempt in self.take_waiting():
+                self.pool.exchange.end(attempt, End(Outcome.UNREACHED))
+            return
+        self.stream.set_nodelay(True)
+        self.pool.counters.add("connected")
+        self.up = True
+        self.heard = self.pool.now()
+        self.write_waiting()
+        try:
+            while True:
+                data = await self.stream.read_bytes(self.limits.read_chunk, partial=True)
+                self.heard, self.silent = self.pool.now(), False
+                for answer in self.reader.feed(data):
+                    self.answered(answer)
+        except StreamClosedError:
+            pass
+        except wire.MalformedError as error:
+            if self.pool.counters.add_once("bad_cache_lines"):
+                log.event(LOGGER, logging.WARNING, "bad_cache_line", at=self.instance.name, why=str(error))
+        except Exception:
+            self.pool.counters.add("cache_errors")
+            LOGGER.exception("cache_connection_failed")
+        self.lost()
+
+    def lost(self) -> None:
+        """The connection is over: what is out may have run, what waits has not."""
+        self.stream.close()
+        self.instance.forget(self)
+        out, self.out = list(self.out.values()), {}
+        waiting = self.take_waiting()
+        for attempt in out:
+            self.pool.exchange.end(attempt, End(Outcome.RESET))
+        for attempt in waiting:
+            self.pool.exchange.end(attempt, End(Outcome.UNREACHED))
+
+    def take_waiting(self) -> list[Attempt]:
+        waiting = list(self.waiting)
+        self.waiting.clear()
+        return waiting
+
+    def write_waiting(self) -> None:
+        """Write what waits, one at a time and only while the socket takes it, so that checks are fresh."""
+        while self.up and self.waiting and not self.stream.closed() and not self.stream.writing():
+            attempt = self.waiting.popleft()
+            order = self.pool.exchange.order(attempt)
+            if order is None:
+                continue
+            line = wire.ask(order.id, order_fields(order), len(order.body))
+            self.out[attempt.id] = attempt
+            self.used = self.pool.now()
+            self.pool.exchange.written(attempt)
+            try:
+                done = self.stream.write(b"".join((line, order.body, b"\r\n")))
+            except StreamClosedError:
+                return
+            if self.stream.writing():
+                done.add_done_callback(lambda _: self.write_waiting())
+
+    def answered(self, answer: wire.Answer) -> None:
+        attempt = self.out.pop(answer.id, None)
+        self.used = self.pool.now()
+        if attempt is not None:
+            self.pool.counters.add("received_bytes", len(answer.body))
+            self.pool.exchange.end(attempt, read_end(answer))
+        elif answer.id not in self.given_up:
+            raise wire.MalformedError(f"answer to {answer.id[:40]!r}, which is not open")
+
+    def abandon(self, attempt: Attempt) -> None:
+        if self.out.get(attempt.id) is attempt:
+            del self.out[attempt.id]
+            self.given_up.add(attempt.id)
+            # A machine that vanished leaves its connections open and says nothing on them: one that has
+            # brought no byte since this attempt was written takes nothing new until it does.
+            timed_out = self.pool.now() >= attempt.expires
+            if timed_out and attempt.written is not None and self.heard <= attempt.written:
+                self.silent = True
+            if not self.stream.closed():
+                self.stream.write(wire.quit_(attempt.id))
+        elif attempt in self.waiting:
+            self.waiting.remove(attempt)
+
+    @property
+    def idle(self) -> bool:
+        return self.up and not self.out and not self.waiting
+
+
+class Instance:
+    """One run of a cache, parent or the origin. A new run, or a new one at the same address, is another."""
+
+    def __init__(self, pool: "Pool", listed: Listed) -> None:
+        self.pool = pool
+        self.name = listed.member.name
+        self.started = listed.member.started
+        self.address: Address = listed.address
+        self.connections: list[Connection] = []
+        self.gone = False
+
+    def start(self, attempt: Attempt) -> None:
+        for connection in self.connections:
+            if connection.takes(attempt):
+                break
+        else:
+            if len(self.connections) >= self.pool.limits.cache_connections:
+                self.pool.counters.add("no_connection_left")
+                return self.pool.exchange.end(attempt, End(Outcome.NOT_SENT))
+            connection = Connection(self.pool, self)
+            self.connections.append(connection)
+            self.pool.spawn(connection)
+        connection.waiting.append(attempt)
+        attempt.carrier = connection
+        connection.write_waiting()
+
+    def forget(self, connection: Connection) -> None:
+        if connection in self.connections:
+            self.connections.remove(connection)
+
+    def sweep(self, now: float) -> None:
+        """Close what has been idle for long, what is silent and empty, and what a gone instance left."""
+        for connection in [c for c in self.connections if c.idle]:
+            idle = now - connection.used > self.pool.limits.cache_idle
+            if self.gone or idle or connection.silent or len(connection.given_up) > 4096:
+                connection.stream.close()
+
+
+class Pool:
+    """All instances by name; carries attempts for the exchange."""
+
+    def __init__(self, exchange: Exchange, limits: Limits, counters: Counters) -> None:
+        self.exchange, self.limits, self.counters = exchange, limits, counters
+        self.instances: dict[str, Instance] = {}
+        self.leaving: list[Instance] = []
+        self.tasks: set[asyncio.Task[None]] = set()
+        exchange.caches = self
+
+    def now(self) -> float:
+        return self.exchange.scheduler.monotonic()
+
+    def spawn(self, connection: Connection) -> None:
+        task = asyncio.ensure_future(connection.run())
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    def list_changed(self, listed: Iterable[Listed], full: bool) -> None:
+        """Follow the list. A cache may take the address of one that has gone: instances are told apart by
+        name and start, never by address."""
+        listed = tuple(listed)
+        if full:
+            for name in self.instances.keys() - {entry.member.name for entry in listed}:
+                self.leave(name)
+        for entry in listed:
+            known = self.instances.get(entry.member.name)
+            if entry.member.state is State.GONE:
+                self.leave(entry.member.name)
+            elif known is None:
+                self.instances[entry.member.name] = Instance(self, entry)
+            elif (entry.member.started or 0) > (known.started or 0) or entry.address != known.address:
+                self.leave(entry.member.name, at_once=True)
+                self.instances[entry.member.name] = Instance(self, entry)
+
+    def leave(self, name: str, at_once: bool = False) -> None:
+        """Take an instance out of use; one that has started anew can no longer answer on old connections."""
+        instance = self.instances.pop(name, None)
+        if instance is None:
+            return
+        instance.gone = True
+        self.leaving.append(instance)
+        for connection in instance.connections[:]:
+            if at_once or connection.idle:
+                connection.stream.close()
+
+    def start(self, attempt: Attempt) -> None:
+        instance = self.instances.get(attempt.fetch.target)
+        if instance is None:
+            return self.exchange.end(attempt, End(Outcome.NOT_SENT))
+        instance.start(attempt)
+
+    def sweep(self) -> None:
+        """Now and then: idle connections, and what is left of gone instances."""
+        now = self.now()
+        for instance in [*self.instances.values(), *self.leaving]:
+            instance.sweep(now)
+        self.leaving = [instance for instance in self.leaving if instance.connections]
+
--- /dev/null
+++ b/paddlequay/net/clients.py
@@ -0,0 +1,217 @@
+"""Clients' connections: requests in, one answer each."""
+
+import logging
+import re
+from collections.abc import Mapping
+from typing import Any
+
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.tcpserver import TCPServer
+
+from paddlequay import log
+from paddlequay.config import Limits
+from paddlequay.counters import Counters
+from paddlequay.exchange import Ask, Exchange, Open, Reply, Verdict
+from paddlequay.protocol import clients as wire
+from paddlequay.protocol.msgpack import MalformedError
+
+LOGGER = logging.getLogger(__name__)
+
+HEX = re.compile(r"[0-9a-f]{16}")
+JOINED_MOST = 16 * 1024  # a body up to this size is copied into one write, as a packet costs more than a copy
+
+
+class FieldError(ValueError):
+    """A field that cannot be used."""
+
+
+def pick(fields: Mapping[Any, Any], name: str, pattern: re.Pattern[str], needed: bool = True) -> str | None:
+    """A field's text, as it is."""
+    value = fields.get(name)
+    if value is None and not needed:
+        return None
+    if not isinstance(value, str) or not pattern.fullmatch(value):
+        raise FieldError(f"field {name} cannot be used")
+    return value
+
+
+WHOLE = re.compile(r"[0-9]{1,9}")
+
+
+def read_ask(call: wire.Call) -> Ask:
+    """A call's fields as a request in the exchange's terms."""
+    fields = call.fields
+    part, group = pick(fields, "slice", WHOLE, False), pick(fields, "set", WHOLE, False)
+    name, ttl = pick(fields, "row", HEX) or "", pick(fields, "ttl", WHOLE) or ""
+    return Ask(
+        id=pick(fields, "call", HEX) or "",
+        class_name=call.method,
+        ttl=int(ttl) / 1000.0,
+        name=name,
+        key=int(name, 16),
+        part=None if part is None else int(part),
+        group=None if group is None else int(group),
+        body=call.body,
+        known=pick(fields, "seen", HEX, False),
+        retry=fields.get("rep") == "1",
+    )
+
+
+class Session:
+    """One client connection and the requests that are open on it."""
+
+    def __init__(self, front: "Front", stream: IOStream) -> None:
+        self.front, self.stream = front, stream
+        self.reader = wire.Reader(front.limits.client_frame)
+        self.open: dict[int, Open | None] = {}
+        self.unsent = 0
+        self.moved = self.used = front.now()
+
+    async def run(self) -> None:
+        counters = self.front.counters
+        try:
+            while True:
+                data = await self.stream.read_bytes(self.front.limits.read_chunk, partial=True)
+                self.used = self.front.now()
+                for message in self.reader.feed(data):
+                    self.take(message)
+        except StreamClosedError:
+            pass
+        except MalformedError as error:
+            # Nothing after it can be told apart: this connection ends, and no other.
+            if counters.add_once("bad_client_bytes"):
+                log.event(LOGGER, logging.WARNING, "bad_client_bytes", why=str(error))
+        except Exception:
+            counters.add("client_errors")
+            LOGGER.exception("client_connection_failed")
+        finally:
+            self.stream.close()
+            for item in list(self.open.values()):
+                if item is not None:
+                    self.front.exchange.withdraw(item)
+            self.open.clear()
+
+    def take(self, message: wire.Message) -> None:
+        match message:
+            case wire.Alive():
+                self.send(wire.alive_answer(message.number, self.front.ready))
+            case wire.Withdrawn():
+                for number in message.numbers:
+                    item = self.open.pop(number, None)
+                    if item is not None:
+                        self.front.exchange.withdraw(item)
+            case wire.Call():
+                self.call(message)
+
+    def call(self, call: wire.Call) -> None:
+        number, counters = call.number, self.front.counters
+        if number in self.open:
+            raise MalformedError("a message id that is open already")
+        counters.add("requests")
+        if call.method not in self.front.exchange.router.kinds:
+            counters.add("unknown_class")
+            return self.send(wire.error_answer(number, wire.FAILED, {"why": "unknown class"}))
+        try:
+            ask = read_ask(call)
+        except FieldError as error:
+            counters.add("bad_fields")
+            return self.send(wire.error_answer(number, wire.FAILED, {"why": str(error)}))
+        if len(self.open) >= self.front.limits.client_streams:
+            counters.add("refused.too_many_streams")
+            return self.answer(number, Reply(Verdict.REFUSED, retry_in=self.front.limits.busy_pushback))
+        # The answer may come before `ask` returns: then the place is gone again and stays so.
+        self.open[number] = None
+        item = self.front.exchange.ask(ask, lambda reply: self.answer(number, reply))
+        if number in self.open:
+            self.open[number] = item
+
+    def answer(self, number: int, reply: Reply) -> None:
+        self.open.pop(number, None)
+        match reply.verdict:
+            case Verdict.SERVED:
+                self.send(*wire.served_answer(number, reply.body, {}))
+            case Verdict.UNCHANGED:
+                self.send(*wire.served_answer(number, b"", {"current": "1"}))
+            case Verdict.REFUSED:
+                wait = reply.retry_in
+                fields = {} if wait is None else {"pushback": str(max(1, round(wait * 1000)))}
+                self.send(wire.error_answer(number, wire.REFUSED, fields))
+            case Verdict.FAILED:
+                self.send(wire.error_answer(number, wire.FAILED, {}))
+
+    def send(self, *pieces: bytes | bytearray | memoryview) -> None:
+        """Write without waiting: a slow reader must not hold up others, so its backlog is bounded instead."""
+        if self.stream.closed():
+            return
+        size = sum(map(len, pieces))
+        limits = self.front.limits
+        self.used = self.front.now()
+        if not self.unsent:
+            self.moved = self.used
+        if self.unsent + size > limits.client_unsent or self.front.unsent + size > limits.all_unsent:
+            self.front.counters.add("slow_readers")
+            return self.stream.close()
+        self.unsent += size
+        self.front.unsent += size
+        if size <= JOINED_MOST:
+            pieces = (b"".join(pieces),)
+        try:
+            for piece in pieces:
+                done = self.stream.write(memoryview(piece))
+        except StreamClosedError:
+            self.front.unsent -= size
+            self.unsent -= size
+            return
+        self.front.counters.add("answer_bytes", size)
+        done.add_done_callback(lambda _: self.sent(size))
+
+    def sent(self, size: int) -> None:
+        self.unsent -= size
+        self.front.unsent -= size
+        self.moved = self.front.now()
+
+
+class Front(TCPServer):
+    """The listener for clients. Another front beside it would speak to the same exchange."""
+
+    def __init__(self, exchange: Exchange, limits: Limits, counters: Counters) -> None:
+        super().__init__(max_buffer_size=2 * limits.client_frame, read_chunk_size=limits.read_chunk)
+        self.exchange, self.limits, self.counters = exchange, limits, counters
+        self.sessions: set[Session] = set()
+        self.unsent = 0
+        self.ready = True
+
+    def now(self) -> float:
+        return self.exchange.scheduler.monotonic()
+
+    async def handle_stream(self, stream: IOStream, address: tuple[str, int]) -> None:
+        if len(self.sessions) >= self.limits.client_connections and not self.make_room():
+            self.counters.add("turned_away_connections")
+            return stream.close()
+        self.counters.add("client_connections")
+        stream.set_nodelay(True)
+        session = Session(self, stream)
+        self.sessions.add(session)
+        try:
+            await session.run()
+        finally:
+            self.sessions.discard(session)
+
+    def make_room(self) -> bool:
+        """Close the connection that has been idle for longest; clients send again what crosses the close."""
+        idle = [session for session in self.sessions if not session.open and not session.unsent]
+        if not idle:
+            return False
+        longest = min(idle, key=lambda session: session.used)
+        longest.stream.close()
+        self.sessions.discard(longest)
+        self.counters.add("closed_idle_clients")
+        return True
+
+    def sweep(self) -> None:
+        """Close the connections whose client has taken nothing for long."""
+        now = self.now()
+        for session in list(self.sessions):
+            if session.unsent and now - session.moved > self.limits.client_stall:
+                self.counters.add("slow_readers")
+                session.stream.close()
--- /dev/null
+++ b/paddlequay/protocol/clients.py
@@ -0,0 +1,90 @@
+"""The clients' side: MessagePack-RPC messages in, answers out. Knows no socket."""
+
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from paddlequay.protocol import msgpack
+from paddlequay.protocol.msgpack import Buffer, IncompleteError, MalformedError
+
+REQUEST, RESPONSE, NOTIFICATION = 0, 1, 2
+REFUSED, FAILED = "TryLater", "Aborted"
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """A request as it stands on the wire; whether its fields can be used is for the front to say."""
+
+    number: int
+    method: str
+    fields: Mapping[Any, Any]
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Alive:
+    """The front's question whether this router takes requests."""
+
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class Withdrawn:
+    """The client no longer waits for these."""
+
+    numbers: tuple[int, ...]
+
+
+Message = Call | Alive | Withdrawn
+
+
+class Reader:
+    """Takes bytes as they come and gives whole messages; raises `MalformedError` on what is none."""
+
+    def __init__(self, most: int) -> None:
+        self.most = most
+        self.buffer = bytearray()
+
+    def feed(self, data: Buffer) -> Iterator[Message]:
+        self.buffer += data
+        at = 0
+        try:
+            while at < len(self.buffer):
+                value, at = msgpack.unpack(self.buffer, at, self.most)
+                yield message(value)
+        except IncompleteError:
+            pass
+        finally:
+            del self.buffer[:at]
+
+
+def is_number(value: Any) -> bool:
+    return isinstance(value, int) and not isinstance(value, bool) and value >= 0
+
+
+def message(value: Any) -> Message:
+    """One unpacked value as a message."""
+    match value:
+        case [0, number, "alive", [*_]] if is_number(number):
+            return Alive(number)
+        case [0, number, str(method), [dict(fields), bytes(body)]] if is_number(number):
+            return Call(number, method, fields, body)
+        case [0, number, str(method), [dict(fields)]] if is_number(number):
+            return Call(number, method, fields, b"")
+        case [2, "cancelRequest", [*numbers]] if all(map(is_number, numbers)):
+            return Withdrawn(tuple(numbers))
+    raise MalformedError("not a request, nor a notification that is known")
+
+
+def alive_answer(number: int, ready: bool) -> bytes:
+    return msgpack.pack([RESPONSE, number, None, [ready, {}]])
+
+
+def error_answer(number: int, error: str, fields: Mapping[str, str]) -> bytes:
+    return msgpack.pack([RESPONSE, number, [error, dict(fields)], None])
+
+
+def served_answer(number: int, body: Buffer, fields: Mapping[str, str]) -> tuple[bytes, Buffer, bytes]:
+    """Head, body and tail of a served answer: the body is not copied."""
+    head = b"\x94\x01" + msgpack.pack(number) + b"\xc0\x92" + msgpack.bin_head(len(body))
+    return head, body, msgpack.pack(dict(fields))
