Read the bulletin's object heartbeats; start the real program in tests

The bulletin writes its heartbeat as an object with only the number, where the reader knew a plain number, so the connection ended about once a second and came back with `after N`. At fault: protocol/bulletin.py read_news.

--- a/paddlequay/protocol/bulletin.py
+++ b/paddlequay/protocol/bulletin.py
@@ -77,11 +77,15 @@
 
 
 def read_news(item: Any) -> News:
-    """One event, or the plain number of a heartbeat."""
+    """One event, or a heartbeat: a number, plain or as an object with nothing else."""
     try:
         if isinstance(item, int):
             return Heartbeat(item)
         number = int(item["no"])
+        if item.keys() == {"no"}:
+            # The bulletin writes its heartbeat as an object too; read as a broken event, it ended the
+            # connection every second.
+            return Heartbeat(number)
         if "roster" in item:
             roster = item["roster"]
             listed = tuple(map(read_listed, roster["instances"]))
--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,246 @@
+"""The real program as a process, spoken to as a client, as caches and as the bulletin would."""
+
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from typing import Any
+
+import pytest
+from harness import ROOT, WAIT, Platform, platform, until
+
+
+@pytest.fixture
+def p() -> Iterator[Platform]:
+    with platform() as made:
+        yield made
+
+
+def told(words: list[str]) -> dict[str, str]:
+    return dict(pair.split("=") for pair in words[2].split(","))
+
+
+def test_a_request_is_passed_on_unchanged_and_its_bytes_come_back_whole(p: Platform) -> None:
+    client = p.client()
+    client.ask(call="9b1f03aa5c7e2d41", row="7f3a9c21e0b4d655", slice="3", seen="4be0c1927d55a6f3")
+    body = bytes(range(256)) * 900
+    words = p.box.answer(
+        "HIT", "tag=ab,minted=1764576000123,detail=MISS,lag=12.5,use=inflight:7;util:0.61", body
+    )
+    fields = told(words)
+    assert words[:2] == ["ASK", "9b1f03aa5c7e2d41"] and words[3:] == ["0", ""]
+    assert 0 < int(fields.pop("budget")) <= 2000
+    assert fields == {
+        "queue": "video",
+        "path": "7f3a9c21e0b4d655",
+        "blk": "3",
+        "via": "parent-1",
+        "tier": "1",
+        "opts": "join",
+        "known": "4be0c1927d55a6f3",
+    }
+    assert client.answer() == [1, 1, None, [body, {}]]
+
+
+def test_a_write_goes_untouched_to_the_origin(p: Platform) -> None:
+    client = p.client()
+    client.ask("charge", b"\x00\r\nQUIT 1\r\n" * 3000)
+    words = p.origin.answer("HIT", "-", b"done")
+    assert words[4].encode("latin-1") == b"\x00\r\nQUIT 1\r\n" * 3000
+    assert told(words).keys() == {"queue", "path", "blk", "budget"}
+    assert client.answer() == [1, 1, None, [b"done", {}]]
+
+
+def test_a_copy_that_the_client_holds_is_told_to_be_current(p: Platform) -> None:
+    client = p.client()
+    client.ask(seen="4be0c1927d55a6f3")
+    p.box.answer("VALID", "tag=4be0c1927d55a6f3,detail=HIT")
+    assert client.answer() == [1, 1, None, [b"", {"current": "1"}]]
+
+
+@pytest.mark.parametrize(
+    ("word", "verdict"), [("SHED", "TryLater"), ("NONE", "TryLater"), ("FAULT", "Aborted")]
+)
+def test_a_write_is_refused_only_where_it_is_proved_not_to_have_run(
+    p: Platform, word: str, verdict: str
+) -> None:
+    client = p.client()
+    client.ask("charge")
+    p.origin.answer(word)
+    if word != "FAULT":
+        p.box.answer(word)
+    error, served = client.answer()[2:]
+    assert served is None and error[0] == verdict
+    assert p.origin.lines.empty() and p.box.lines.empty()
+    assert ("pushback" in error[1]) == (verdict == "TryLater")
+
+
+def test_a_write_whose_connection_broke_is_not_sent_again(p: Platform) -> None:
+    client = p.client()
+    client.ask("charge")
+    connection, _ = p.origin.line()
+    connection.shutdown(2)
+    connection.close()
+    assert client.answer() == [1, 1, ["Aborted", {}], None]
+    assert p.origin.lines.empty() and p.box.lines.empty()
+
+
+def test_many_answers_share_one_connection_in_any_order(p: Platform) -> None:
+    client = p.client()
+    for number in range(5):
+        client.ask(row=f"{number:016x}")
+    asked = [p.box.line() for _ in range(5)]
+    for connection, words in reversed(asked):
+        connection.sendall(f"{words[1]} HIT - 1\r\n{told(words)['path'][-1]}\r\n".encode())
+    answers = [client.answer() for _ in range(5)]
+    assert {answer[1]: answer[3][0] for answer in answers} == {n + 1: str(n).encode() for n in range(5)}
+    assert len({id(connection) for connection, _ in asked}) == 1
+
+
+def test_a_cancelled_request_is_given_up_at_the_cache_and_gets_no_answer(p: Platform) -> None:
+    from paddlequay.protocol.msgpack import pack
+
+    client = p.client()
+    number = client.ask()
+    connection, words = p.box.line()
+    client.socket.sendall(pack([2, "cancelRequest", [number]]))
+    assert p.box.line()[1] == ["QUIT", words[1]]
+    # The answer that crossed the QUIT is passed over, and so is the id on this connection from now on.
+    connection.sendall(f"{words[1]} HIT - 1\r\nx\r\n".encode())
+    client.ask(row="00000000000000aa")
+    p.box.answer("HIT", "-", b"y")
+    assert client.answer() == [1, 2, None, [b"y", {}]]
+
+
+def test_silence_everywhere_ends_in_one_refusal_before_the_client_gives_up(p: Platform) -> None:
+    client = p.client()
+    began = time.monotonic()
+    client.ask(ttl="700")
+    p.box.line()
+    answer = client.answer()
+    assert 0.6 < time.monotonic() - began < 0.7 + 0.05  # the rules' slack
+    assert answer[2][0] == "TryLater" and int(answer[2][1]["pushback"]) > 0
+
+
+@pytest.mark.parametrize("line", [b"what\r\n", b"1 HIT - many\r\n", b"00 HIT - 1\r\nx\r\n", b"\xff\r\n"])
+def test_a_bad_line_from_a_cache_ends_its_connection_and_counts_as_a_reset(p: Platform, line: bytes) -> None:
+    client = p.client()
+    client.ask()
+    connection, _ = p.box.line()
+    connection.sendall(line)
+    p.parent.answer("HIT", "-", b"parent's")  # the next rung goes round the only box
+    assert client.answer()[3][0] == b"parent's"
+    assert p.counted("bad_cache_lines") == 1 and p.counted("ended.reset") == 1
+
+
+@pytest.mark.parametrize(
+    "junk", [b"\xc1", b"GET / HTTP/1.1\r\n\r\n", b"\x94\x00\x01\xdb\xff\xff\xff\xff", b"\x91" * 9]
+)
+def test_bad_client_bytes_end_that_connection_only(p: Platform, junk: bytes) -> None:
+    good, bad = p.client(), p.client()
+    good.ask()
+    bad.socket.sendall(junk)
+    assert bad.answer() is None
+    p.box.answer("HIT", "-", b"x")
+    assert good.answer()[3][0] == b"x"
+    assert p.counted("bad_client_bytes") == 1
+
+
+@pytest.mark.parametrize(
+    ("method", "fields"),
+    [
+        ("nosuch", {}),
+        ("video", {"row": "7"}),
+        ("video", {"call": "a b"}),
+        ("video", {"ttl": "soon"}),
+        ("video", {"ttl": None}),
+        ("video", {"slice": "-1"}),
+        ("video", {"seen": "x,y=z"}),
+    ],
+)
+def test_what_cannot_be_used_gets_an_error_and_the_connection_lives(
+    p: Platform, method: str, fields: dict[str, Any]
+) -> None:
+    client = p.client()
+    client.ask(method, **fields)
+    assert client.answer()[2][0] == "Aborted"
+    client.ask()
+    p.box.answer("HIT", "-", b"x")
+    assert client.answer()[3][0] == b"x"
+
+
+def test_heartbeats_of_both_forms_keep_the_bulletin_and_silence_ends_it(p: Platform) -> None:
+    p.client()
+    connection = p.publish({"no": 1}, 1, {"no": 2, "recall": {"lot": 1, "issued": 1}}, {"no": 2})
+    until(lambda: p.counted("purges") == 1, "the purge is taken in")
+    assert p.bulletin.accepted.empty() and p.counted("bad_bulletin_lines") == 0
+    p.bulletin.accepted.get(timeout=WAIT)  # no heartbeat any more, though the connection stays open
+    assert p.bulletin.line()[1] == ["after", "2"]
+    connection.close()
+
+
+def test_a_draining_cache_gets_nothing_new_and_a_purge_binds_the_age(p: Platform) -> None:
+    client = p.client()
+    issued = int(time.time() * 1000)
+    other = p.entry("box-2", p.parent)
+    drained = p.entry("box-1", p.box, lifecycle="terminating")
+    p.publish(
+        {"no": 2, "roster": {"reset": False, "instances": [drained, other]}},
+        {"no": 3, "recall": {"lot": 17, "issued": issued}},
+    )
+    until(lambda: p.counted("purges") == 1, "the purge is taken in")
+    client.ask()
+    age = int(told(p.parent.answer("HIT", "-", b"x"))["fresh"])
+    assert 1 <= age <= time.time() * 1000 - issued
+    assert client.answer()[3][0] == b"x" and p.box.lines.empty()
+
+
+def test_a_cache_started_anew_at_the_same_address_is_another(p: Platform) -> None:
+    client = p.client()
+    client.ask()
+    old, _ = p.box.line()  # silent from now on
+    later = p.entry("box-1", p.box, startedAtMs=int(time.time() * 1000) - 60_000)
+    p.publish({"no": 2, "roster": {"reset": False, "instances": [later]}})
+    client.ask(row="00000000000000aa")
+    new, _ = p.box.line()
+    assert new is not old
+
+
+def test_after_sigterm_late_connections_are_served_and_the_end_is_clean(p: Platform) -> None:
+    early = p.client()
+    early.ask()
+    p.box.line()
+    p.process.terminate()
+    p.logged("event=ending")
+    late = p.client()
+    late.ask(row="00000000000000aa")
+    p.box.answer("HIT", "-", b"x")
+    assert late.answer()[3][0] == b"x"
+    assert early.answer()[2][0] == "TryLater"
+    assert p.process.wait(timeout=WAIT) == 0
+    assert "answered.refused=1" in p.logged("why=exit")
+
+
+@pytest.mark.parametrize("fault", ["none", "missing", "json", "settings", "listen", "seed", "known"])
+def test_a_bad_configuration_is_one_plain_line_and_exit_2(fault: str, tmp_path: Any) -> None:
+    settings = {
+        "locality": "here",
+        "classes": [{"name": "a", "aim": 1, "deadline": 2, "idempotency": "read_like"}],
+    }
+    good = '{"listen":"127.0.0.1:0","bulletin":"127.0.0.1:1","seed":"1","settings":%s,"known":%s}'
+    known = '{"no":1,"items":[{"no":1,"roster":{}}]}' if fault == "known" else "null"
+    text = good % (str(settings).replace("'", '"') if fault != "settings" else "{}", known)
+    changes = {"json": ("{", "["), "listen": ("127.0.0.1:0", "nowhere"), "seed": ('"1"', '"xyz"')}
+    path = tmp_path / "config.json"
+    path.write_text(text.replace(*changes[fault], 1) if fault in changes else text)
+    name = {"none": "", "missing": "/nonexistent/config.json"}.get(fault, str(path))
+    done = subprocess.run(
+        [sys.executable, "-m", "paddlequay"],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        env={"ROUTER_CONFIG": name},
+        timeout=WAIT,
+    )
+    assert done.returncode == 2 and done.stdout == ""
+    assert len(done.stderr.splitlines()) == 1 and done.stderr.startswith("paddlequay: ")
