--- a/tests/harness.py
+++ b/tests/harness.py
@@ -1,4 +1,4 @@
-"""The platform round one real router process: a bulletin, caches and a client, on ephemeral loopback ports."""
+"""The platform round one real router process: bulletin, caches and client, on ephemeral loopback ports."""
 
 import contextlib
 import json
