--- a/paddlequay/net/caches.py
+++ b/paddlequay/net/caches.py
@@ -38,6 +38,7 @@
     "NO_FILL": Note.FILLS_FULL,
     "ORIGIN_ERR": Note.ORIGIN_FAILED,
 }
+LOADS = {"inflight": "active", "util": "cpu"}  # the words of the settings' list of load fields
 
 
 def order_fields(order: Order) -> dict[str, str]:
@@ -62,7 +63,7 @@
 
 def read_load(text: str) -> tuple[tuple[str, float], ...]:
     pairs = (pair.partition(":") for pair in text.split(";"))
-    return tuple((name, float(value)) for name, _, value in pairs)
+    return tuple((LOADS.get(name, name), float(value)) for name, _, value in pairs)
 
 
 def read_end(answer: wire.Answer) -> End:
