SIGHUP re-reads the configuration and follows the new bulletin instead of ending

Ruled out: the bulletin itself, as the exits came with no line in the log. At fault: Program.__init__ in __main__.py set handlers for SIGTERM, SIGINT and SIGUSR1 only, so the default action of SIGHUP held; Follower had one address for good. Now the file is read anew; one that cannot be used leaves the old and logs one line. The follower moves to the new address at once with 'after N' on the same numbers. 'known' of the new file is passed over: the bulletin tells everything after N, while a list with a gap could hide an event.

--- a/paddlequay/__main__.py
+++ b/paddlequay/__main__.py
@@ -69,6 +69,22 @@
         for name in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(name, self.stop.set)
         loop.add_signal_handler(signal.SIGUSR1, self.counters.print, "asked")
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
+
+    def reload(self) -> None:
+        """Read the configuration anew; of what changes, the bulletin's address can be taken up while serving.
+
+        The signal's default action ended the program, and with it all requests it held.
+        """
+        try:
+            config = read_config(os.environ)
+        except ConfigError as error:
+            self.counters.add("reloads_refused")
+            return log.event(LOGGER, logging.WARNING, "reload_refused", why=str(error))
+        self.counters.add("reloads")
+        self.follower.move(config.bulletin)
+        host, port = config.bulletin
+        log.event(LOGGER, logging.INFO, "reloaded", bulletin=f"{host}:{port}")
 
     async def sweeping(self) -> None:
         """What is looked at now and then rather than at an event."""
@@ -121,6 +137,7 @@
 
 def main() -> int:
     log.set_up()
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the program can act on it
     # Requests leave no cycles behind, and a full collection walks the decisions' table of objects: be rare.
     gc.set_threshold(20_000, 20, 50)
     try:
--- a/paddlequay/net/bulletin.py
+++ b/paddlequay/net/bulletin.py
@@ -27,6 +27,14 @@
         self.address, self.exchange, self.pool = address, exchange, pool
         self.limits, self.counters = limits, counters
         self.last = 0
+        self.stream: IOStream | None = None
+
+    def move(self, address: Address) -> None:
+        """Follow the bulletin at another address from now on. The numbers go on, so nothing is had anew."""
+        if address != self.address:
+            self.address = address
+            if self.stream is not None:
+                self.stream.close()  # the old bulletin tells nothing more: the next connection is the new one
 
     def start_from(self, known: Mapping[str, Any]) -> None:
         """The events that stand in the configuration."""
@@ -51,7 +59,8 @@
     async def follow(self) -> None:
         """For as long as the program runs."""
         while True:
-            stream = IOStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
+            address = self.address
+            stream = self.stream = IOStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
             try:
                 await self.listen(stream)
             except (TimeoutError, StreamClosedError, OSError) as error:
@@ -65,7 +74,8 @@
                 LOGGER.exception("bulletin_failed")
             finally:
                 stream.close()
-            await asyncio.sleep(self.limits.bulletin_pause)
+            if address == self.address:  # moved while it was open: the new one is asked at once
+                await asyncio.sleep(self.limits.bulletin_pause)
 
     async def listen(self, stream: IOStream) -> None:
         """One connection, until it ends or misses its heartbeats: cut off, it would stay open and silent."""
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -1,13 +1,16 @@
 """The real program as a process, spoken to as a client, as caches and as the bulletin would."""
 
+import json
+import signal
 import subprocess
 import sys
 import time
 from collections.abc import Iterator
+from pathlib import Path
 from typing import Any
 
 import pytest
-from harness import ROOT, WAIT, Platform, platform, until
+from harness import ROOT, WAIT, Party, Platform, platform, until
 
 
 @pytest.fixture
@@ -244,3 +247,27 @@
     )
     assert done.returncode == 2 and done.stdout == ""
     assert len(done.stderr.splitlines()) == 1 and done.stderr.startswith("paddlequay: ")
+
+
+def test_sighup_follows_the_new_bulletin_on_the_same_numbers_and_ends_no_request(p: Platform) -> None:
+    """Unhandled, the signal ended the program and lost what it held."""
+    client = p.client()
+    client.ask()
+    p.box.line()
+    p.publish({"no": 2, "recall": {"lot": 1, "issued": 1}})
+    until(lambda: p.counted("purges") == 1, "the purge is taken in")
+    config = json.loads(Path(p.config).read_text())
+    Path(p.config).write_text("{")
+    p.process.send_signal(signal.SIGHUP)
+    p.logged("event=reload_refused")
+    moved = Party()
+    Path(p.config).write_text(json.dumps(config | {"bulletin": moved.address}))
+    p.process.send_signal(signal.SIGHUP)
+    connection, words = moved.line()
+    assert words == ["after", "2"]
+    connection.sendall(b'{"no":3,"recall":{"lot":2,"issued":1}}\n')
+    until(lambda: p.counted("purges") == 2, "the new bulletin is followed")
+    client.ask(row="00000000000000aa")
+    p.box.answer("HIT", "-", b"x")
+    assert client.answer()[3][0] == b"x" and p.process.poll() is None
+    moved.listener.close()
