--- a/paddlequay/config.py
+++ b/paddlequay/config.py
@@ -43,6 +43,7 @@
     cache_streams: int = 32
     cache_connections: int = 8  # to one instance
     cache_idle: float = 24.0
+    cache_ids: int = 512  # remembered by a connection, so that none comes twice on it
     cache_line: int = 4096
     cache_object: int = 240_000
     least_budget: float = 0.002  # less time left than this and nothing is written any more
--- a/paddlequay/net/caches.py
+++ b/paddlequay/net/caches.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 import socket
-from collections import deque
+from collections import OrderedDict, deque
 from collections.abc import Iterable
 
 from tornado.iostream import IOStream, StreamClosedError
@@ -91,7 +91,7 @@
         self.reader = wire.Reader(self.limits.cache_line, self.limits.cache_object)
         self.waiting: deque[Attempt] = deque()
         self.out: dict[str, Attempt] = {}
-        self.given_up: set[str] = set()
+        self.written: OrderedDict[str, None] = OrderedDict()  # ids, the latest `cache_ids` of them
         self.up = False
         self.silent = False
         self.heard = self.used = pool.now()
@@ -99,14 +99,13 @@
     def takes(self, attempt: Attempt) -> bool:
         """Room for it, on a connection that answers.
 
-        An id that was given up here never comes again on this connection: the answer to the first attempt may
-        be on its way, and nothing would tell it from the second's.
+        An id that was written here never comes again on this connection: an answer to the first attempt may
+        be on its way, late or for the second time, and nothing would tell it from the second's.
         """
-        if self.stream.closed() or self.silent or attempt.id in self.out or attempt.id in self.given_up:
+        full = len(self.out) + len(self.waiting) >= self.limits.cache_streams
+        if full or self.silent or self.stream.closed():
             return False
-        if any(other.id == attempt.id for other in self.waiting):
-            return False
-        return len(self.out) + len(self.waiting) < self.limits.cache_streams
+        return attempt.id not in self.written and all(other.id != attempt.id for other in self.waiting)
 
     async def run(self) -> None:
         """Connect, then read until the end."""
@@ -168,6 +167,9 @@
                 continue
             line = wire.ask(order.id, order_fields(order), len(order.body))
             self.out[attempt.id] = attempt
+            self.written[attempt.id] = None
+            if len(self.written) > self.limits.cache_ids:
+                self.written.popitem(last=False)
             self.used = self.pool.now()
             self.pool.exchange.written(attempt)
             try:
@@ -183,13 +185,14 @@
         if attempt is not None:
             self.pool.counters.add("received_bytes", len(answer.body))
             self.pool.exchange.end(attempt, read_end(answer))
-        elif answer.id not in self.given_up:
-            raise wire.MalformedError(f"answer to {answer.id[:40]!r}, which is not open")
+        else:
+            # Given up, answered before, or never asked: whole and well-formed, it harms nothing else. Taken
+            # as a spoilt connection, one such answer ended all good ones that were on their way.
+            self.pool.counters.add("answers_not_asked")
 
     def abandon(self, attempt: Attempt) -> None:
         if self.out.get(attempt.id) is attempt:
             del self.out[attempt.id]
-            self.given_up.add(attempt.id)
             # A machine that vanished leaves its connections open and says nothing on them: one that has
             # brought no byte since this attempt was written takes nothing new until it does.
             timed_out = self.pool.now() >= attempt.expires
@@ -239,7 +242,7 @@
         """Close what has been idle for long, what is silent and empty, and what a gone instance left."""
         for connection in [c for c in self.connections if c.idle]:
             idle = now - connection.used > self.pool.limits.cache_idle
-            if self.gone or idle or connection.silent or len(connection.given_up) > 4096:
+            if self.gone or idle or connection.silent:
                 connection.stream.close()
 
 
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -26,12 +26,14 @@
     TimerDue,
 )
 from paddlequay.logic import (
+    ALIVE_S,
     BUDGET_RESERVE,
     BUDGET_SHARE,
     HOT_WINDOW_S,
     PURGES_MOST,
     RANK_LOW,
     RANK_TOP,
+    SAME_FAULT_S,
     SKIP_FAILURES,
     TRIAL_DELAY_S,
     Router,
@@ -185,12 +187,41 @@
     actions: list[Action] = []
     for fetch in waiting[:SKIP_FAILURES]:
         actions = driver.end(fetch, Outcome.UNREACHED)
+        driver.now += 2 * SAME_FAULT_S
         assert all(again.target != dead for again in fetches(actions))
     cancelled = {action.request for action in actions if isinstance(action, Cancel)}
     assert cancelled == {fetch.request for fetch in waiting[SKIP_FAILURES:]}
     assert all(driver.fetch(key).target != dead for key in range(20))
 
 
+def test_one_broken_connection_is_one_failure_however_much_was_out_on_it() -> None:
+    """rude+garble+fleet: each broken connection got a healthy member skipped and all else there recalled."""
+    driver = Driver()
+    fetched = [driver.fetch(key) for key in range(20)]
+    edge = fetched[0].target
+    lost = [fetch for fetch in fetched if fetch.target == edge]
+    assert len(lost) >= SKIP_FAILURES
+    actions = [action for fetch in lost for action in driver.end(fetch, Outcome.RESET)]
+    assert not any(isinstance(action, Cancel) for action in actions)
+    assert edge in {driver.fetch(key).target for key in range(20)}
+
+
+def test_a_plain_error_is_held_against_a_member_only_if_it_serves_nobody() -> None:
+    """rude+garble+fleet: what no cache can use is answered 'error' by each that it is sent to."""
+    driver = Driver(notes=True)
+    good = driver.fetch()
+    driver.serve(good, Note.HIT)
+    for _ in range(SKIP_FAILURES):
+        driver.end(driver.fetch(), Outcome.ERROR)
+        driver.now += 2 * SAME_FAULT_S
+    assert driver.fetch().target == good.target
+    driver.now += ALIVE_S
+    for _ in range(SKIP_FAILURES):
+        driver.end(driver.fetch(), Outcome.ERROR)
+        driver.now += 2 * SAME_FAULT_S
+    assert driver.fetch().target != good.target
+
+
 def test_an_edge_whose_fill_places_are_taken_is_not_blamed_but_passed_over() -> None:
     driver = Driver()
     fetch = driver.fetch()
