Let a member's own report of room lift its limit; find parents' limits faster

A trace of each refusal with the state of the members it was refused for: edges 'busy' at a limit of 11 with 17 out by belief, while their own reports said 4 to 14% of cores and 2 to 12% of the link; later, refusals after a look at an edge (att/r 1.01), with the parents at their limit and nothing late. Ruled out: the core (0.4 s a second at the most of 1), skipped members (none in the log), lateness (under 1%). At fault: Router.busy and pace took LIMIT_START = 10 for the truth; it grew by 5% a second and never read AttemptEnded.load. Parents, asked by edges, report to no router, so theirs was found even slower. Now a report under 0.4 of cores and 0.8 of the link, at most 2 s old and with few late answers, means not busy, and what was out then is held to fit; parents start at 30 and grow by 20% a second until their first jam.

--- a/paddlequay/logic.py
+++ b/paddlequay/logic.py
@@ -58,10 +58,14 @@
 # Further attempts and overload.
 BUDGET_SHARE = 0.2  # further attempts as a share of first ones, so that a failing tier is not hit harder
 BUDGET_RESERVE = 20.0  # attempts saved up at most: covers the burst when one member dies
-LIMIT_START, LIMIT_LEAST, LIMIT_MOST = 10.0, 2.0, 1000.0  # out at an edge by all routers, in mean requests
+LIMIT_LEAST, LIMIT_MOST = 2.0, 1000.0  # out at a member by all routers, in mean requests
 FILL_SHARE = 0.33  # of the work at edges that is filled, where notes do not tell; parents' limits use it too
 LIMIT_CHANCE = 1.5  # roots of its share that a router may be above it: few requests come unevenly
+LIMIT_FIND = 0.2  # growth a second of a parent's limit until its first jam: nothing else finds it
 LIMIT_GROWTH, LIMIT_CUT, LIMIT_PAUSE_S = 0.05, 0.8, 0.5  # a second; cut at most twice a second, once a jam
+ROOM_CPU, ROOM_LINK = 0.4, 0.8  # a member that reports less use of its cores and its link has room for more
+REPORT_AGE_S = 2.0  # reports are made every 240 to 990 ms and come late; an older one tells nothing
+LIMIT_ROOM = 1.25  # what was out while a member reported room, and this much more, it can hold
 LATE_MEMORY_S = 1.0  # by time, not by answers: a router that sends once a second must see a jam as well
 LATE_SHARE = 0.15  # of answers past the aim: less is the tail of sizes, not a jam
 UNTOLD_SLACK = 1.2  # sizes untold: a large object's later aim is not seen, and it is no sign of a jam
@@ -103,6 +107,10 @@
     ORIGIN = 2
 
 
+# What an edge can bear, its first report tells within a second; parents, asked by edges, report to no router.
+LIMIT_START = {Tier.EDGE: 10.0, Tier.PARENT: 30.0, Tier.ORIGIN: 30.0}
+
+
 @dataclass(slots=True)
 class Server:
     """What the router knows and believes of one member of its list."""
@@ -111,6 +119,7 @@
     tier: Tier
     since: float
     seed: int
+    limit: float
     failures: int = 0
     failed_at: float = -math.inf
     skipped: bool = False
@@ -118,10 +127,10 @@
     trial_at: float = 0.0
     trial: str | None = None
     out: float = 0.0
-    limit: float = LIMIT_START
     late: float = 0.0
     heard_at: float = -math.inf
     cut_at: float = -math.inf
+    room_at: float = -math.inf
     tokens: float = 0.0
     tokens_at: float | None = None
 
@@ -255,7 +264,9 @@
             elif known is None or (entry.started or 0) > (known.entry.started or 0):
                 self.drop(entry.name)
                 tier = self.tiers.get(entry.kind, Tier.EDGE)
-                self.servers[entry.name] = Server(entry, tier, self.now, mix(entry.name))
+                self.servers[entry.name] = Server(
+                    entry, tier, self.now, mix(entry.name), LIMIT_START[tier]
+                )
             else:
                 known.entry = entry
         self.rebuild()
@@ -421,6 +432,8 @@
 
     def busy(self, server: Server, item: Open) -> bool:
         """Whether its limit is reached: large transfers reach it first, and a share under one sheds some."""
+        if self.now - server.room_at < REPORT_AGE_S and server.late <= LATE_SHARE:
+            return False
         share = server.limit / self.sharers[server.tier]
         limit = share + LIMIT_CHANCE * math.sqrt(share)
         return item.cost * item.luck > limit or (server.out > 0 and server.out + item.cost > limit)
@@ -576,6 +589,7 @@
             return
         attempt = item.attempts[event.attempt]
         attempt.over = True
+        self.report(attempt.target, dict(event.load))
         self.judge(item, attempt, event)
         self.release(item, attempt)
         if event.outcome in PROVEN_IDLE and item.may_have_run is attempt:
@@ -685,6 +699,17 @@
         late = ratio > (1.0 if item.request.size_kb else UNTOLD_SLACK)
         self.pace(attempt.source if filled else attempt.target, late)
 
+    def report(self, server: Server, load: dict[str, float]) -> None:
+        """A member's own word on its load: where it has room, no belief of ours may say that it is full."""
+        if "cpu" not in load:
+            return
+        if load["cpu"] < ROOM_CPU and (server.tier is not Tier.EDGE or load.get("x1", 0.0) < ROOM_LINK):
+            server.room_at = self.now
+            out = server.out * self.sharers[server.tier]
+            server.limit = min(LIMIT_MOST, max(server.limit, LIMIT_ROOM * out))
+        else:
+            server.room_at = -math.inf
+
     def slow_down(self, item: Open, ratio: float) -> None:
         """Move the learned latency of nearly all answers, as a multiple of the aim."""
         slow = self.slowness[item.kind.name]
@@ -698,7 +723,9 @@
         out = server.out * self.sharers[server.tier]
         if server.late <= LATE_SHARE:
             if out > server.limit / 2:
-                server.limit = min(LIMIT_MOST, server.limit * math.exp(LIMIT_GROWTH * min(since, 1.0)))
+                finding = server.cut_at == -math.inf and server.tier is not Tier.EDGE
+                growth = LIMIT_FIND if finding else LIMIT_GROWTH
+                server.limit = min(LIMIT_MOST, server.limit * math.exp(growth * min(since, 1.0)))
         elif late and self.now - server.cut_at >= LIMIT_PAUSE_S:
             server.cut_at = self.now
             server.limit = max(LIMIT_LEAST, min(server.limit, out + 1.0) * LIMIT_CUT)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -19,7 +19,15 @@
     Settings,
     State,
 )
-from paddlequay.logic import LIMIT_CHANCE, LIMIT_START, SKIP_FAILURES, TRIAL_DELAY_S, Router
+from paddlequay.logic import (
+    LIMIT_CHANCE,
+    LIMIT_START,
+    REPORT_AGE_S,
+    SKIP_FAILURES,
+    TRIAL_DELAY_S,
+    Router,
+    Tier,
+)
 
 PAGES = RequestClass("pages", 0.3, 2.5, Effect.SAFE, aim_stretch=2.0, fresh=8.0, grace=30.0)
 WORK = 0.15  # as the module takes it to be before it has seen a size: each request costs 1
@@ -112,11 +120,28 @@
     out = 0
     for number in range(4000):
         out += len(ask(made[number % routers], f"r{number}", number, 2.0))
-    share = LIMIT_START / routers
+    share = LIMIT_START[Tier.EDGE] / routers
     most = routers * max(1.0, share + LIMIT_CHANCE * share**0.5)
     assert routers <= out <= most + 1e-6
 
 
+@pytest.mark.parametrize(
+    ("cores", "link", "age", "held"),
+    [(0.1, 0.1, 0.1, False), (0.9, 0.1, 0.1, True), (0.1, 2.0, 0.1, True), (0.1, 0.1, REPORT_AGE_S, True)],
+)
+def test_an_edge_that_reports_room_is_not_held_to_be_full(
+    cores: float, link: float, age: float, held: bool
+) -> None:
+    """A calm day, seed 3: half of it was refused for limits while the edges reported a tenth of their use."""
+    (router,) = fleet(1, members(edges=1, parents=40))
+    (fetch,) = ask(router, "first", 1, 2.0)
+    report = (("active", 4.0), ("cpu", cores), ("x0", 0.5), ("x1", link))
+    answer = AttemptEnded("first", 0, fetch.target, Outcome.SERVED, 0.05, True, Note.FILLED, None, report)
+    router.handle(answer, 2.0)
+    sent = sum(len(ask(router, f"r{number}", number, 2.0 + age)) for number in range(100))
+    assert (sent < 30) if held else (sent == 100)
+
+
 def test_a_full_edge_is_not_skipped_and_its_source_is_not_blamed() -> None:
     """i633f50: edges that turned requests away were skipped, and the hits they held were lost."""
     (router,) = fleet(1, members())
