Bound what silent, half-read and flooding clients hold, and end stalled connections to caches

Silent and half-read ones now end after 1.5 s, never spoken ones go first. - read_ask passed on any ttl, part and group: what caches cannot use is now turned away at the front. - Two open requests under one id: Exchange.ask now fails the second, which may name another object. - Connection.answered took an attempt off before its answer was read, so one that could not be read waited for its time-out; VALID was believed for a request that named no copy. - Reader in protocol/caches.py waited for the rest of an answer that had stopped short, and all behind it waited too. - Pool had no bound over all instances: 20 instances by 8 connections are more than 256 descriptors hold. - Gone members stayed in Exchange.members; the table of objects grew to 20,000 whatever their age. - load.py measured the use of a whole core where the configuration grants a part of one. - A heartbeat past the last event that came now asks for the rest.

--- a/paddlequay/__main__.py
+++ b/paddlequay/__main__.py
@@ -89,7 +89,7 @@
     async def sweeping(self) -> None:
         """What is looked at now and then rather than at an event."""
         while True:
-            await asyncio.sleep(1.0)
+            await asyncio.sleep(self.limits.sweep)
             self.pool.sweep()
             self.front.sweep()
 
--- a/paddlequay/config.py
+++ b/paddlequay/config.py
@@ -29,12 +29,21 @@
     client_unsent: int = 12 * 1024 * 1024
     all_unsent: int = 48 * 1024 * 1024
     client_stall: float = 10.0
+    client_silent: float = 1.5  # to the first whole message, and from a message's first byte to its last
+    client_idle: float = 6.0  # clients themselves close after 4 s
+    client_body: int = 48_000
+    client_turned: int = 32  # refusals or errors in a row, after which a connection is read
+    client_pause: float = 0.02  # only once in this time
+    ttl_most: float = 1.5  # of the class's deadline; no client waits longer than the deadline
+    part_most: int = 65_535
+    group_most: int = 255
     open_requests: int = 20000
     answer_margin: float = 0.025  # of the time to live: the way from and to the client
     busy_pushback: float = 0.2  # told where the router itself, not the decisions, turns a request away
     client_chunk: int = 4096  # some 25 requests: what waits behind them, purges above all, has its turn
     beat: float = 0.05  # how often the program looks at its own load
     busy_share: float = 0.96  # of the core: past it, new requests are turned away, more at each beat
+    cores: float = 1.0
     late_beat: float = 0.03  # a beat this late tells the same
     shed_step: float = 0.06
     shed_pushback: float = 1.0
@@ -42,6 +51,8 @@
     connect_timeout: float = 0.4
     cache_streams: int = 32
     cache_connections: int = 8  # to one instance
+    all_cache_connections: int = 650
+    cache_stall: float = 0.5  # without a byte inside an answer, which comes in one piece
     cache_idle: float = 24.0
     cache_ids: int = 512  # remembered by a connection, so that none comes twice on it
     cache_line: int = 4096
@@ -51,7 +62,7 @@
     purge_memory: float = 6.0
     # The bulletin.
     bulletin_line: int = 4 * 1024 * 1024
-    bulletin_silence: float = 2.5  # heartbeats come every second
+    bulletin_silence: float = 2.2  # heartbeats come every second
     bulletin_connect: float = 1.0
     bulletin_pause: float = 0.2
     # The end.
@@ -59,8 +70,9 @@
     serve_after_term: float = 0.75
     drain_longest: float = 6.6
     flush_longest: float = 0.5
-    # All sockets.
+    # All.
     read_chunk: int = 64 * 1024
+    sweep: float = 0.25
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,8 +114,12 @@
     memory = positive(data, "limits.memory_mb", 192) * 1024 * 1024
     wire = data["settings"]
     keepalive = positive(wire, "limits.keepalive", 30.0)
+    clients = max(1, int(sockets / 3) - 1)
     return Limits(
-        client_connections=max(1, int(sockets / 3) - 1),
+        client_connections=clients,
+        # The rest is for listener, bulletin, event loop and log, and for sockets about to be closed.
+        all_cache_connections=max(4, int(sockets) - clients - 24),
+        cores=positive(data, "limits.cores", 1.0),
         all_unsent=int(memory / 4),
         client_unsent=int(memory / 16),
         open_requests=int(positive(wire, "limits.maxOpen", 20000)),
--- a/paddlequay/exchange.py
+++ b/paddlequay/exchange.py
@@ -177,6 +177,7 @@
         self.counters = counters
         self.caches: Caches | None = None
         self.open: dict[str, Open] = {}
+        self.ids: set[str] = set()
         self.members: dict[str, Member] = {}
         self.purges: dict[tuple[str, int | None], float] = {}
         self.serials = 0
@@ -195,6 +196,12 @@
             self.counters.add("refused.too_many_open")
             reply(Reply(Verdict.REFUSED, retry_in=self.limits.busy_pushback))
             return None
+        if ask.id in self.ids:
+            # The first request's answer must not serve another object, nor a second one's end end the first.
+            self.counters.add("refused.id_open")
+            reply(Reply(Verdict.FAILED))
+            return None
+        self.ids.add(ask.id)
         self.serials += 1
         left = ask.ttl - self.limits.answer_margin
         item = Open(f"q{self.serials}", ask, reply, now, now + left)
@@ -235,7 +242,10 @@
         if full:
             self.members.clear()
         for member in members:
-            self.members[member.name] = member
+            if member.state is State.GONE:
+                self.members.pop(member.name, None)  # its name never comes again: kept, the table only grows
+            else:
+                self.members[member.name] = member
         self.deliver(MembersChanged(members, full))
 
     def purged(self, key: int | None, group: int | None, issued: float) -> None:
@@ -418,6 +428,7 @@
     def forget(self, item: Open) -> None:
         """The request is over; attempts that are still out are given up."""
         del self.open[item.serial]
+        self.ids.discard(item.ask.id)
         if item.guard is not None:
             item.guard.cancel()
         for attempt in item.attempts:
--- a/paddlequay/load.py
+++ b/paddlequay/load.py
@@ -22,7 +22,9 @@
         before, self.at = self.at, (now, cpu)
         if before is None or now <= before[0]:
             return
-        busy = (cpu - before[1]) / (now - before[0]) > self.limits.busy_share
+        # Of the cores that the deployment grants, which may be a part of one: measured against a whole one, a
+        # part that is full never showed.
+        busy = (cpu - before[1]) / (now - before[0]) > self.limits.busy_share * self.limits.cores
         late = now - before[0] > self.limits.beat + self.limits.late_beat
         step = self.limits.shed_step if busy or late else -self.limits.shed_step / 2
         self.share = min(0.95, max(0.0, self.share + step))
--- a/paddlequay/logic.py
+++ b/paddlequay/logic.py
@@ -85,7 +85,7 @@
 AGE_LEAST_S = 0.001  # an age limit of 0 would mean the default
 
 # Bounds of memory.
-OBJECTS_MOST = 20000
+OBJECTS_MOST, OBJECT_AGE_S = 20000, 30.0  # older reads weigh nothing: objects are new all day long
 PURGES_MOST = 5000
 HOLDERS_MOST = 3
 
@@ -316,7 +316,8 @@
         seen = self.seen.get(place)
         if seen is None:
             seen = self.seen[place] = Seen(self.now)
-            if len(self.seen) > OBJECTS_MOST:
+            oldest = self.now - OBJECT_AGE_S
+            while len(self.seen) > OBJECTS_MOST or next(iter(self.seen.values())).read_at < oldest:
                 self.seen.popitem(last=False)
         self.seen.move_to_end(place)
         since = self.now - seen.read_at
--- a/paddlequay/net/bulletin.py
+++ b/paddlequay/net/bulletin.py
@@ -44,7 +44,11 @@
     def apply(self, news: Iterable[wire.News]) -> None:
         """Take in events in their order; what has been had already is passed over."""
         for item in news:
-            if isinstance(item, wire.Heartbeat) or item.number <= self.last:
+            if isinstance(item, wire.Heartbeat):
+                if item.number > self.last:
+                    raise wire.MalformedError(f"{item.number} events are out, {self.last} came")
+                continue
+            if item.number <= self.last:
                 continue
             self.last = item.number
             if isinstance(item, wire.Roster):
@@ -87,3 +91,4 @@
                 stream.read_bytes(self.limits.read_chunk, partial=True), self.limits.bulletin_silence
             )
             self.apply(reader.feed(data))
+            await asyncio.sleep(0)
--- a/paddlequay/net/caches.py
+++ b/paddlequay/net/caches.py
@@ -132,6 +132,7 @@
                 self.heard, self.silent = self.pool.now(), False
                 for answer in self.reader.feed(data):
                     self.answered(answer)
+                await asyncio.sleep(0)  # a read of what is there already does not yield: others have a turn
         except StreamClosedError:
             pass
         except wire.MalformedError as error:
@@ -180,11 +181,17 @@
                 done.add_done_callback(lambda _: self.write_waiting())
 
     def answered(self, answer: wire.Answer) -> None:
-        attempt = self.out.pop(answer.id, None)
+        attempt = self.out.get(answer.id)
         self.used = self.pool.now()
         if attempt is not None:
+            # Read before it is taken off: what cannot be read ends the connection and all that is out on it,
+            # this attempt too, which else would have waited for its time-out.
+            end = read_end(answer)
+            if end.unchanged and attempt.owner.ask.known is None:
+                raise wire.MalformedError("VALID to a request that named no copy")
+            del self.out[answer.id]
             self.pool.counters.add("received_bytes", len(answer.body))
-            self.pool.exchange.end(attempt, read_end(answer))
+            self.pool.exchange.end(attempt, end)
         else:
             # Given up, answered before, or never asked: whole and well-formed, it harms nothing else. Taken
             # as a spoilt connection, one such answer ended all good ones that were on their way.
@@ -224,7 +231,8 @@
             if connection.takes(attempt):
                 break
         else:
-            if len(self.connections) >= self.pool.limits.cache_connections:
+            full = len(self.connections) >= self.pool.limits.cache_connections
+            if full or not self.pool.has_room():
                 self.pool.counters.add("no_connection_left")
                 return self.pool.exchange.end(attempt, End(Outcome.NOT_SENT))
             connection = Connection(self.pool, self)
@@ -239,7 +247,14 @@
             self.connections.remove(connection)
 
     def sweep(self, now: float) -> None:
-        """Close what has been idle for long, what is silent and empty, and what a gone instance left."""
+        """Close what has been idle for long, what is silent and empty, and what a gone instance left.
+
+        Also what stopped inside an answer: whatever comes next on it would be read as the rest of that one.
+        """
+        for connection in [c for c in self.connections if c.reader.begun]:
+            if now - connection.heard > self.pool.limits.cache_stall:
+                self.pool.counters.add("stalled_answers")
+                connection.stream.close()
         for connection in [c for c in self.connections if c.idle]:
             idle = now - connection.used > self.pool.limits.cache_idle
             if self.gone or idle or connection.silent:
@@ -292,6 +307,16 @@
             if at_once or connection.idle:
                 connection.stream.close()
 
+    def has_room(self) -> bool:
+        """Room for one more connection to any instance; the one that has been idle for longest makes it."""
+        held = [c for each in [*self.instances.values(), *self.leaving] for c in each.connections]
+        if len(held) < self.limits.all_cache_connections:
+            return True
+        idle = [connection for connection in held if connection.idle and not connection.stream.closed()]
+        if idle:
+            min(idle, key=lambda connection: connection.used).stream.close()
+        return bool(idle)
+
     def start(self, attempt: Attempt) -> None:
         instance = self.instances.get(attempt.fetch.target)
         if instance is None:
--- a/paddlequay/net/clients.py
+++ b/paddlequay/net/clients.py
@@ -1,5 +1,6 @@
 """Clients' connections: requests in, one answer each."""
 
+import asyncio
 import logging
 import re
 from collections.abc import Mapping
@@ -12,7 +13,7 @@
 from paddlequay.config import Limits
 from paddlequay.counters import Counters
 from paddlequay.exchange import Ask, Exchange, Open, Reply, Verdict
-from paddlequay.interface import Effect
+from paddlequay.interface import Effect, RequestClass
 from paddlequay.load import OwnLoad
 from paddlequay.protocol import clients as wire
 from paddlequay.protocol.msgpack import MalformedError
@@ -38,24 +39,45 @@
 
 
 WHOLE = re.compile(r"[0-9]{1,9}")
+MARK = re.compile(r"[01]")
 
 
-def read_ask(call: wire.Call) -> Ask:
-    """A call's fields as a request in the exchange's terms."""
+def number(fields: Mapping[Any, Any], name: str, most: int, needed: bool = False) -> int | None:
+    """A field's whole number, from 0 to `most`."""
+    text = pick(fields, name, WHOLE, needed)
+    if text is None:
+        return None
+    if int(text) > most:
+        raise FieldError(f"field {name} is out of range")
+    return int(text)
+
+
+def read_ask(call: wire.Call, kind: RequestClass, limits: Limits) -> Ask:
+    """A call's fields as a request in the exchange's terms.
+
+    Nothing is passed on that a cache could not use or read: it would answer by an error, or close the
+    connection on all that share it.
+    """
     fields = call.fields
-    part, group = pick(fields, "slice", WHOLE, False), pick(fields, "set", WHOLE, False)
-    name, ttl = pick(fields, "row", HEX) or "", pick(fields, "ttl", WHOLE) or ""
+    if not all(isinstance(name, str) and isinstance(value, str) for name, value in fields.items()):
+        raise FieldError("fields are strings")
+    if len(call.body) > limits.client_body:
+        raise FieldError("the body is longer than allowed")
+    name = pick(fields, "row", HEX) or ""
+    ttl = number(fields, "ttl", int(1000 * limits.ttl_most * kind.deadline), needed=True)
+    if not ttl:
+        raise FieldError("field ttl leaves no time")
     return Ask(
         id=pick(fields, "call", HEX) or "",
         class_name=call.method,
-        ttl=int(ttl) / 1000.0,
+        ttl=ttl / 1000.0,
         name=name,
         key=int(name, 16),
-        part=None if part is None else int(part),
-        group=None if group is None else int(group),
+        part=number(fields, "slice", limits.part_most),
+        group=number(fields, "set", limits.group_most),
         body=call.body,
         known=pick(fields, "seen", HEX, False),
-        retry=fields.get("rep") == "1",
+        retry=pick(fields, "rep", MARK, False) == "1",
     )
 
 
@@ -67,7 +89,10 @@
         self.reader = wire.Reader(front.limits.client_frame)
         self.open: dict[int, Open | None] = {}
         self.unsent = 0
-        self.moved = self.used = front.now()
+        self.moved = self.used = self.began = front.now()
+        self.spoken = False  # whether a whole message has come
+        self.half: float | None = None  # since when a message has been coming that is not whole
+        self.turned = 0  # refusals and errors since the last other answer
 
     async def run(self) -> None:
         counters = self.front.counters
@@ -75,8 +100,18 @@
             while True:
                 data = await self.stream.read_bytes(self.front.limits.client_chunk, partial=True)
                 self.used = self.front.now()
+                whole = False
                 for message in self.reader.feed(data):
+                    whole = self.spoken = True
                     self.take(message)
+                if not self.reader.rest:
+                    self.half = None
+                elif whole or self.half is None:
+                    self.half = self.used
+                # A read of what is there already does not yield: one client at full speed would keep the loop
+                # to itself. One that is only turned away is read more slowly, which costs nobody else.
+                slow = self.turned >= self.front.limits.client_turned
+                await asyncio.sleep(self.front.limits.client_pause if slow else 0)
         except StreamClosedError:
             pass
         except MalformedError as error:
@@ -112,16 +147,16 @@
         counters.add("requests")
         if call.method not in self.front.exchange.router.kinds:
             counters.add("unknown_class")
-            return self.send(wire.error_answer(number, wire.FAILED, {"why": "unknown class"}))
+            return self.reject(number, "unknown class")
         kind = self.front.exchange.router.kinds[call.method]
         if kind.effect is Effect.SAFE and self.front.load.sheds():
             counters.add("refused.busy")
             return self.answer(number, self.front.too_busy)
         try:
-            ask = read_ask(call)
+            ask = read_ask(call, kind, self.front.limits)
         except FieldError as error:
             counters.add("bad_fields")
-            return self.send(wire.error_answer(number, wire.FAILED, {"why": str(error)}))
+            return self.reject(number, str(error))
         if len(self.open) >= self.front.limits.client_streams:
             counters.add("refused.too_many_streams")
             return self.answer(number, Reply(Verdict.REFUSED, retry_in=self.front.limits.busy_pushback))
@@ -131,8 +166,14 @@
         if number in self.open:
             self.open[number] = item
 
+    def reject(self, number: int, why: str) -> None:
+        """An error for what cannot be used."""
+        self.turned += 1
+        self.send(wire.error_answer(number, wire.FAILED, {"why": why}))
+
     def answer(self, number: int, reply: Reply) -> None:
         self.open.pop(number, None)
+        self.turned = 0 if reply.verdict in (Verdict.SERVED, Verdict.UNCHANGED) else self.turned + 1
         match reply.verdict:
             case Verdict.SERVED:
                 self.send(*wire.served_answer(number, reply.body, {}))
@@ -206,20 +247,31 @@
             self.sessions.discard(session)
 
     def make_room(self) -> bool:
-        """Close the connection that has been idle for longest; clients send again what crosses the close."""
+        """Close the connection that has been idle for longest; clients send again what crosses the close.
+
+        Those that have never sent a whole message go first: hundreds that connect and say nothing would else
+        push out the usual clients, which were there before them.
+        """
         idle = [session for session in self.sessions if not session.open and not session.unsent]
         if not idle:
             return False
-        longest = min(idle, key=lambda session: session.used)
+        longest = min(idle, key=lambda session: (session.spoken, session.used))
         longest.stream.close()
         self.sessions.discard(longest)
         self.counters.add("closed_idle_clients")
         return True
 
     def sweep(self) -> None:
-        """Close the connections whose client has taken nothing for long."""
-        now = self.now()
+        """Close the connections whose client has long taken nothing, sent nothing whole or asked nothing."""
+        now, limits = self.now(), self.limits
         for session in list(self.sessions):
-            if session.unsent and now - session.moved > self.limits.client_stall:
+            since = session.half if session.spoken else session.began
+            if session.unsent and now - session.moved > limits.client_stall:
                 self.counters.add("slow_readers")
-                session.stream.close()
+            elif since is not None and now - since > limits.client_silent:
+                self.counters.add("silent_clients")
+            elif not session.open and not session.unsent and now - session.used > limits.client_idle:
+                self.counters.add("closed_idle_clients")
+            else:
+                continue
+            session.stream.close()
--- a/paddlequay/protocol/caches.py
+++ b/paddlequay/protocol/caches.py
@@ -57,9 +57,9 @@
         self.ending = 0
 
     @property
-    def inside(self) -> str | None:
-        """The id of the answer that has begun and is not whole."""
-        return self.head[0] if self.head else None
+    def begun(self) -> bool:
+        """Whether an answer, or its line, has begun and is not whole."""
+        return self.head is not None or bool(self.line)
 
     def feed(self, data: bytes) -> Iterator[Answer]:
         view = memoryview(data)
--- a/paddlequay/protocol/clients.py
+++ b/paddlequay/protocol/clients.py
@@ -43,7 +43,7 @@
 
     def __init__(self, most: int) -> None:
         self.most = most
-        self.rest = b""
+        self.rest = b""  # of a message that is not whole yet
 
     def feed(self, data: bytes) -> Iterator[Message]:
         data = self.rest + data if self.rest else data
--- a/paddlequay/protocol/msgpack.py
+++ b/paddlequay/protocol/msgpack.py
@@ -4,7 +4,8 @@
 from typing import Any
 
 MOST_DEPTH = 6
-MOST_ITEMS = 256  # in one array or map: a frame is scanned anew when more of it has come
+MOST_ITEMS = 256  # in one array or map
+MOST_VALUES = 600  # in one message: a frame is scanned anew each time that more of it has come
 
 Buffer = bytes | bytearray | memoryview
 
@@ -43,6 +44,7 @@
     def __init__(self, data: Buffer, at: int, most: int) -> None:
         self.data, self.at, self.end = data, at, len(data)
         self.last = at + most
+        self.values = 0
 
     def take(self, count: int) -> int:
         """Move past `count` bytes and give their place."""
@@ -79,6 +81,9 @@
     def value(self, depth: int) -> Any:
         if depth > MOST_DEPTH:
             raise MalformedError("nested too deeply")
+        self.values += 1
+        if self.values > MOST_VALUES:
+            raise MalformedError("too many values in one message")
         code = self.data[self.take(1)]
         if code < 0x80:
             return code
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -22,6 +22,7 @@
 from paddlequay.logic import (
     LIMIT_CHANCE,
     LIMIT_START,
+    OBJECT_AGE_S,
     REPORT_AGE_S,
     SKIP_FAILURES,
     TRIAL_DELAY_S,
@@ -213,3 +214,12 @@
         router = Router(settings, 1)
         router.handle(MembersChanged(members(), full=True), 1.0)
         assert ask(router, "r1", 5, 2.0)
+
+
+def test_objects_read_long_ago_are_forgotten() -> None:
+    """churn+long: most objects are new, and a table that keeps each grows all day."""
+    (router,) = fleet(1, members())
+    for number in range(400):
+        for fetch in ask(router, f"r{number}", number, 2.0 + number):
+            end(router, fetch, Outcome.SERVED, 2.0 + number, Note.HIT)
+    assert len(router.seen) <= OBJECT_AGE_S + 2
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -28,3 +28,12 @@
     load.beat(1.0, 0.5)
     load.beat(1.0 + limits.beat + 2 * limits.late_beat, 0.5)
     assert load.share > 0.0
+
+
+def test_a_part_of_a_core_that_is_full_is_full() -> None:
+    """Measured against a whole core, a router that is granted a third of one never seemed busy."""
+    limits = Limits(cores=0.3)
+    load = OwnLoad(limits, seed=1)
+    for number in range(10):
+        load.beat(1.0 + number * limits.beat, 0.3 * number * limits.beat)
+    assert load.share > 0.0
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -1,9 +1,11 @@
 """The real program as a process, spoken to as a client, as caches and as the bulletin would."""
 
+import contextlib
 import json
 import signal
 import subprocess
 import sys
+import threading
 import time
 from collections.abc import Iterator
 from pathlib import Path
@@ -12,6 +14,8 @@
 import pytest
 from harness import ROOT, WAIT, Party, Platform, platform, until
 
+from paddlequay.protocol.msgpack import pack
+
 
 @pytest.fixture
 def p() -> Iterator[Platform]:
@@ -101,8 +105,6 @@
 
 
 def test_a_cancelled_request_is_given_up_at_the_cache_and_gets_no_answer(p: Platform) -> None:
-    from paddlequay.protocol.msgpack import pack
-
     client = p.client()
     number = client.ask()
     connection, words = p.box.line()
@@ -138,7 +140,19 @@
     assert p.counted("answers_not_asked") == 2 and p.counted("ended.reset") == 0
 
 
-@pytest.mark.parametrize("line", [b"what\r\n", b"1 HIT - many\r\n", b"00 HIT - 1\r\nxyz", b"\xff\r\n"])
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"what\r\n",
+        b"1 HIT - many\r\n",
+        b"00 HIT - 1\r\nxyz",
+        b"\xff\r\n",
+        b"0000000000000001 HIT use=cpu:x 1\r\nx\r\n",
+        b"0000000000000001 WHAT - 0\r\n\r\n",
+        b"0000000000000001 VALID - 0\r\n\r\n",
+        b"0000000000000001 HIT - 3000000000\r\nx",
+    ],
+)
 def test_a_bad_line_from_a_cache_ends_its_connection_and_counts_as_a_reset(p: Platform, line: bytes) -> None:
     client = p.client()
     client.ask()
@@ -149,6 +163,18 @@
     assert p.counted("bad_cache_lines") == 1 and p.counted("ended.reset") == 1
 
 
+@pytest.mark.parametrize("part", [b"0000000000000001 HIT - 5\r\nab", b"00000000000"])
+def test_an_answer_that_stops_short_ends_its_connection_before_the_time_out(p: Platform, part: bytes) -> None:
+    """What came next on it would be read as the rest of that answer."""
+    client = p.client()
+    client.ask(ttl="3000")
+    connection, _ = p.box.line()
+    connection.sendall(part)
+    p.parent.answer("HIT", "-", b"parent's")
+    assert client.answer()[3][0] == b"parent's"
+    assert p.counted("stalled_answers") == 1 and p.counted("ended.timeout") == 0
+
+
 @pytest.mark.parametrize(
     "junk", [b"\xc1", b"GET / HTTP/1.1\r\n\r\n", b"\x94\x00\x01\xdb\xff\xff\xff\xff", b"\x91" * 9]
 )
@@ -172,6 +198,14 @@
         ("video", {"ttl": None}),
         ("video", {"slice": "-1"}),
         ("video", {"seen": "x,y=z"}),
+        ("video", {"ttl": "0"}),
+        ("video", {"ttl": "999999999"}),
+        ("video", {"slice": "99999999"}),
+        ("video", {"set": "256"}),
+        ("video", {"rep": "yes"}),
+        ("video", {"note": 7}),
+        ("video", {"call": None}),
+        ("charge", {"body": bytes(48_001)}),
     ],
 )
 def test_what_cannot_be_used_gets_an_error_and_the_connection_lives(
@@ -185,6 +219,72 @@
     assert client.answer()[3][0] == b"x"
 
 
+def test_an_id_that_is_open_serves_no_second_request(p: Platform) -> None:
+    """The second may name another object: the answer to the first must not serve it."""
+    good, bad = p.client(), p.client()
+    good.ask()
+    bad.ask(row="00000000000000aa")
+    assert bad.answer()[2][0] == "Aborted"
+    p.box.answer("HIT", "-", b"x")
+    assert good.answer()[3][0] == b"x" and p.box.lines.empty()
+
+
+@pytest.mark.parametrize("start", [b"", b"\x94\x00\x01\xa5vi", b"\xc4"])
+def test_clients_that_send_nothing_whole_are_closed_and_push_out_no_other(start: bytes) -> None:
+    """Connections come by the hundreds and say nothing, and may hold a third of the descriptors."""
+    with platform() as p:
+        usual = p.client()
+        usual.ask()
+        p.box.answer("HIT", "-", b"x")
+        assert usual.answer()[3][0] == b"x"
+        began = time.monotonic()
+        silent = [p.client() for _ in range(40)]  # of 60 descriptors, clients hold 19
+        for client in silent:
+            with contextlib.suppress(OSError):
+                client.socket.sendall(start)
+        usual.ask(row="00000000000000aa")
+        p.box.answer("HIT", "-", b"y")
+        assert usual.answer()[3][0] == b"y"
+        for client in silent:
+            with contextlib.suppress(ConnectionError):
+                assert client.answer() is None
+        assert time.monotonic() - began < 3.0
+
+
+def test_a_client_that_sends_without_end_does_not_hold_up_another(p: Platform) -> None:
+    """A read of bytes that are there already does not yield: the loop belonged to whoever sent fastest."""
+    usual, flood = p.client(), p.client()
+    message = pack([0, 1, "nosuch", [{}, b""]])
+    over = threading.Event()
+
+    def send() -> None:
+        with contextlib.suppress(OSError):
+            while not over.is_set():
+                flood.socket.sendall(message * 1000)
+
+    def read() -> None:
+        with contextlib.suppress(OSError):
+            while flood.socket.recv(65536):
+                pass
+
+    for work in (send, read):
+        threading.Thread(target=work, daemon=True).start()
+    until(lambda: p.counted("unknown_class") > 500, "the flood is read")
+    for number in range(20):
+        began = time.monotonic()
+        usual.ask(row=f"{number + 100:016x}")
+        p.box.answer("HIT", "-", b"x")
+        assert usual.answer()[3][0] == b"x" and time.monotonic() - began < 0.3
+    over.set()
+    flood.socket.close()
+
+
+def test_a_heartbeat_past_what_came_asks_for_the_rest(p: Platform) -> None:
+    p.client()
+    p.publish({"no": 3})
+    assert p.bulletin.line()[1] == ["after", "1"]
+
+
 def test_heartbeats_of_both_forms_keep_the_bulletin_and_silence_ends_it(p: Platform) -> None:
     p.client()
     connection = p.publish({"no": 1}, 1, {"no": 2, "recall": {"lot": 1, "issued": 1}}, {"no": 2})
@@ -229,7 +329,7 @@
     p.process.terminate()
     p.logged("event=ending")
     late = p.client()
-    late.ask(row="00000000000000aa")
+    late.ask(call="00000000000000aa", row="00000000000000aa")
     p.box.answer("HIT", "-", b"x")
     assert late.answer()[3][0] == b"x"
     assert early.answer()[2][0] == "TryLater"
