End a connection to a cache that is silent under six requests instead of timing each out

A trace of ends: 278 time-outs on one router, in runs of one second on a single connection that stayed open and brought no byte (written at 3.17 s, first time-out at 3.52 s, the last at 4.11 s). Ruled out: the core (0.23 s in the worst second), skipped members (none), the origin (idle by its reports). At fault: Connection.abandon noticed silence only at the first time-out, and what was out on it by then timed out one by one; Router.blame holds a time-out against the source of the fill, so pace cut the parents' limits, and growth of 5% a second did not bring them back. Now the pool looks at each beat: six or more written since the last byte, the first 0.25 s ago, or an answer that has stopped for 0.2 s, and the connection is ended; its requests may have run and go elsewhere where that is allowed.

--- a/paddlequay/__main__.py
+++ b/paddlequay/__main__.py
@@ -96,6 +96,7 @@
     async def beating(self) -> None:
         while True:
             self.load.beat(time.monotonic(), time.process_time())
+            self.pool.watch()
             await asyncio.sleep(self.limits.beat)
 
     async def run(self) -> None:
--- a/paddlequay/config.py
+++ b/paddlequay/config.py
@@ -52,7 +52,9 @@
     cache_streams: int = 32
     cache_connections: int = 8  # to one instance
     all_cache_connections: int = 650
-    cache_stall: float = 0.5  # without a byte inside an answer, which comes in one piece
+    cache_stall: float = 0.2  # without a byte inside an answer, which comes in one piece
+    cache_unheard: int = 6  # requests written and nothing heard
+    cache_silence: float = 0.25  # since the first of them: the connection is dead
     cache_idle: float = 24.0
     cache_ids: int = 512  # remembered by a connection, so that none comes twice on it
     cache_line: int = 4096
--- a/paddlequay/net/caches.py
+++ b/paddlequay/net/caches.py
@@ -210,6 +210,16 @@
         elif attempt in self.waiting:
             self.waiting.remove(attempt)
 
+    def dead(self, now: float) -> bool:
+        """Whether what is out tells that it is silent: so many written since the last byte, the first long ago.
+
+        Most answers come within tens of milliseconds, so that many do not all wait for fills. Left to their
+        time-outs, they were blamed on the sources of their fills, whose limits were cut for it.
+        """
+        since = [at for at in (a.written for a in self.out.values()) if at is not None and at >= self.heard]
+        limits = self.pool.limits
+        return len(since) >= limits.cache_unheard and now - min(since) > limits.cache_silence
+
     @property
     def idle(self) -> bool:
         return self.up and not self.out and not self.waiting
@@ -246,15 +256,20 @@
         if connection in self.connections:
             self.connections.remove(connection)
 
-    def sweep(self, now: float) -> None:
-        """Close what has been idle for long, what is silent and empty, and what a gone instance left.
-
-        Also what stopped inside an answer: whatever comes next on it would be read as the rest of that one.
-        """
-        for connection in [c for c in self.connections if c.reader.begun]:
-            if now - connection.heard > self.pool.limits.cache_stall:
+    def watch(self, now: float) -> None:
+        """Close what has fallen silent under requests, and what stopped inside an answer: whatever comes next
+        on that one would be read as its rest."""
+        for connection in self.connections[:]:
+            if connection.reader.begun and now - connection.heard > self.pool.limits.cache_stall:
                 self.pool.counters.add("stalled_answers")
-                connection.stream.close()
+            elif connection.dead(now):
+                self.pool.counters.add("silent_connections")
+            else:
+                continue
+            connection.stream.close()
+
+    def sweep(self, now: float) -> None:
+        """Close what has been idle for long, what is silent and empty, and what a gone instance left."""
         for connection in [c for c in self.connections if c.idle]:
             idle = now - connection.used > self.pool.limits.cache_idle
             if self.gone or idle or connection.silent:
@@ -323,6 +338,12 @@
             return self.exchange.end(attempt, End(Outcome.NOT_SENT))
         instance.start(attempt)
 
+    def watch(self) -> None:
+        """At each beat: connections that no longer answer."""
+        now = self.now()
+        for instance in [*self.instances.values(), *self.leaving]:
+            instance.watch(now)
+
     def sweep(self) -> None:
         """Now and then: idle connections, and what is left of gone instances."""
         now = self.now()
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -163,6 +163,19 @@
     assert p.counted("bad_cache_lines") == 1 and p.counted("ended.reset") == 1
 
 
+def test_a_connection_silent_under_many_requests_is_ended_before_their_time_outs(p: Platform) -> None:
+    """r969070: its time-outs were blamed on the parents, and their limits were cut."""
+    client = p.client()
+    for number in range(8):
+        client.ask(row=f"{number:016x}", ttl="3000")
+    asked = [p.box.line() for _ in range(8)]
+    for _ in range(8):
+        p.parent.answer("HIT", "-", b"parent's")
+    assert {client.answer()[3][0] for _ in range(8)} == {b"parent's"}
+    assert p.counted("silent_connections") == 1 and p.counted("ended.reset") == 8
+    assert p.counted("ended.timeout") == 0 and len({connection for connection, _ in asked}) == 1
+
+
 @pytest.mark.parametrize("part", [b"0000000000000001 HIT - 5\r\nab", b"00000000000"])
 def test_an_answer_that_stops_short_ends_its_connection_before_the_time_out(p: Platform, part: bytes) -> None:
     """What came next on it would be read as the rest of that answer."""
