--- a/paddlequay/net/caches.py
+++ b/paddlequay/net/caches.py
@@ -211,7 +211,7 @@
             self.waiting.remove(attempt)
 
     def dead(self, now: float) -> bool:
-        """Whether what is out tells that it is silent: so many written since the last byte, the first long ago.
+        """Whether what is out tells of silence: so many written since the last byte, the first long ago.
 
         Most answers come within tens of milliseconds, so that many do not all wait for fills. Left to their
         time-outs, they were blamed on the sources of their fills, whose limits were cut for it.
