Spread requests over connections and resend what a lost one ended beyond the budget

Ruled out: the core (0.12 s in the worst second), limits (budget was 0 to 4 where the others were free). At fault: Instance.start filled the first connection up to 32 before it took another, so one spoilt answer ended 32; Router.advance charged each resend to a budget of 20, so that the rest got no fill; Connection.dead saw one connection only, and its time was fixed while aims are scaled. Now a connection holds four before another is opened (eight to an instance, then the emptiest), the first resend after a reset is free, silence is watched over all connections to an instance, in time with the settings' aims.

--- a/paddlequay/config.py
+++ b/paddlequay/config.py
@@ -51,10 +51,12 @@
     connect_timeout: float = 0.4
     cache_streams: int = 32
     cache_connections: int = 8  # to one instance
+    cache_share: int = 4  # requests out on a connection before another is opened
     all_cache_connections: int = 650
     cache_stall: float = 0.2  # without a byte inside an answer, which comes in one piece
-    cache_unheard: int = 6  # requests written and nothing heard
-    cache_silence: float = 0.25  # since the first of them: the connection is dead
+    cache_unheard: int = 4  # requests written on a connection and nothing heard on it,
+    instance_unheard: int = 6  # or on all to an instance and nothing heard on any,
+    cache_silence: float = 0.5  # the first of them this long ago: dead
     cache_idle: float = 24.0
     cache_ids: int = 512  # remembered by a connection, so that none comes twice on it
     cache_line: int = 4096
@@ -128,6 +130,8 @@
         connect_timeout=positive(wire, "limits.dialTimeout", 0.4),
         cache_streams=int(positive(wire, "limits.streamsPerConn", 32)),
         cache_idle=0.8 * keepalive,
+        # Of the order of the aims: a deployment of larger objects takes longer for each answer.
+        cache_silence=1.1 * sum(kind.aim for kind in settings.classes) / len(settings.classes),
         attempts=int(positive(wire, "limits.attemptsCap", 6)),
         purge_memory=positive(wire, "extra.clearedWithin", 6.0),
         drain_longest=max(3.0, max(kind.deadline for kind in settings.classes)) + 0.6,
--- a/paddlequay/logic.py
+++ b/paddlequay/logic.py
@@ -182,6 +182,7 @@
     attempts: list[Attempt] = field(default_factory=list)
     failed: list[str] = field(default_factory=list)
     errors: int = 0
+    lost: bool = False
     may_have_run: Attempt | None = None
     unfillable: bool = False
     streaming: bool = False
@@ -330,12 +331,16 @@
         """Send the next attempt of a request, or give it its final answer at once."""
         if item.attempts and not self.may_repeat(item):
             return self.give_up(item)
-        item.unfillable = item.unfillable or (bool(item.attempts) and self.budget < 1.0)
+        # What one lost connection ended is bounded by what was out on it, and no sign of load: it may be sent
+        # once more beyond the budget, which a single connection with thirty requests on it used up.
+        free = len(item.attempts) == 1 and item.lost
+        poor = bool(item.attempts) and self.budget < 1.0 and not free
+        item.unfillable = item.unfillable or poor
         step = self.next_rung(item) if item.cacheable else self.pass_untouched(item)
         if step is None:
             return self.give_up(item)
         target, source = step
-        if item.attempts and target is not source:
+        if item.attempts and target is not source and not free:
             self.budget -= 1.0
         self.send(item, target, source)
 
@@ -634,6 +639,7 @@
             item.unfillable = item.unfillable or source.tier is Tier.PARENT
             item.seen.holders.pop(source.entry.name, None)
             return
+        item.lost = event.outcome is Outcome.RESET
         blamed = self.blame(attempt, event)
         plain = event.outcome is Outcome.ERROR and event.note is None
         item.errors += plain
--- a/paddlequay/net/caches.py
+++ b/paddlequay/net/caches.py
@@ -102,11 +102,14 @@
         An id that was written here never comes again on this connection: an answer to the first attempt may
         be on its way, late or for the second time, and nothing would tell it from the second's.
         """
-        full = len(self.out) + len(self.waiting) >= self.limits.cache_streams
-        if full or self.silent or self.stream.closed():
+        if self.load >= self.limits.cache_streams or self.silent or self.stream.closed():
             return False
         return attempt.id not in self.written and all(other.id != attempt.id for other in self.waiting)
 
+    @property
+    def load(self) -> int:
+        return len(self.out) + len(self.waiting)
+
     async def run(self) -> None:
         """Connect, then read until the end."""
         try:
@@ -210,13 +213,18 @@
         elif attempt in self.waiting:
             self.waiting.remove(attempt)
 
+    def unheard(self, heard: float) -> list[float]:
+        """When what is out was written, as far as that was after the byte heard last."""
+        written = (attempt.written for attempt in self.out.values())
+        return [at for at in written if at is not None and at >= heard]
+
     def dead(self, now: float) -> bool:
         """Whether what is out tells of silence: so many written since the last byte, the first long ago.
 
         Most answers come within tens of milliseconds, so that many do not all wait for fills. Left to their
         time-outs, they were blamed on the sources of their fills, whose limits were cut for it.
         """
-        since = [at for at in (a.written for a in self.out.values()) if at is not None and at >= self.heard]
+        since = self.unheard(self.heard)
         limits = self.pool.limits
         return len(since) >= limits.cache_unheard and now - min(since) > limits.cache_silence
 
@@ -237,21 +245,32 @@
         self.gone = False
 
     def start(self, attempt: Attempt) -> None:
-        for connection in self.connections:
-            if connection.takes(attempt):
-                break
-        else:
-            full = len(self.connections) >= self.pool.limits.cache_connections
-            if full or not self.pool.has_room():
-                self.pool.counters.add("no_connection_left")
-                return self.pool.exchange.end(attempt, End(Outcome.NOT_SENT))
-            connection = Connection(self.pool, self)
-            self.connections.append(connection)
-            self.pool.spawn(connection)
+        connection = self.choose(attempt)
+        if connection is None:
+            self.pool.counters.add("no_connection_left")
+            return self.pool.exchange.end(attempt, End(Outcome.NOT_SENT))
         connection.waiting.append(attempt)
         attempt.carrier = connection
         connection.write_waiting()
 
+    def choose(self, attempt: Attempt) -> Connection | None:
+        """The fullest connection that has few out, a new one, or the emptiest that takes it.
+
+        One spoilt answer ends all that is out on its connection: with thirty requests on one and the others
+        idle, each cost thirty. So many connections as are needed are used, and the rest close as idle.
+        """
+        limits = self.pool.limits
+        usable = [connection for connection in self.connections if connection.takes(attempt)]
+        few = [connection for connection in usable if connection.load < limits.cache_share]
+        if few:
+            return max(few, key=lambda connection: connection.load)
+        if len(self.connections) < limits.cache_connections and self.pool.has_room():
+            connection = Connection(self.pool, self)
+            self.connections.append(connection)
+            self.pool.spawn(connection)
+            return connection
+        return min(usable, key=lambda connection: connection.load, default=None)
+
     def forget(self, connection: Connection) -> None:
         if connection in self.connections:
             self.connections.remove(connection)
@@ -259,10 +278,14 @@
     def watch(self, now: float) -> None:
         """Close what has fallen silent under requests, and what stopped inside an answer: whatever comes next
         on that one would be read as its rest."""
+        heard = max((connection.heard for connection in self.connections), default=now)
+        limits = self.pool.limits
+        since = [at for connection in self.connections for at in connection.unheard(heard)]
+        all_silent = len(since) >= limits.instance_unheard and now - min(since) > limits.cache_silence
         for connection in self.connections[:]:
             if connection.reader.begun and now - connection.heard > self.pool.limits.cache_stall:
                 self.pool.counters.add("stalled_answers")
-            elif connection.dead(now):
+            elif connection.dead(now) or (all_silent and connection.out):
                 self.pool.counters.add("silent_connections")
             else:
                 continue
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -206,6 +206,17 @@
     assert edge in {driver.fetch(key).target for key in range(20)}
 
 
+def test_what_a_lost_connection_ended_is_sent_once_more_beyond_the_budget() -> None:
+    """garble+fleet: thirty requests on one connection used up the budget, and the rest were refused."""
+    driver = Driver()
+    driver.router.budget = 0.0
+    (again,) = fetches(driver.end(driver.fetch(), Outcome.RESET))
+    assert again.source != again.target
+    driver.router.budget = 0.0
+    (look,) = fetches(driver.end(again, Outcome.RESET, attempt=1))
+    assert look.source == look.target
+
+
 def test_a_plain_error_is_held_against_a_member_only_if_it_serves_nobody() -> None:
     """rude+garble+fleet: what no cache can use is answered 'error' by each that it is sent to."""
     driver = Driver(notes=True)
