--- a/paddlequay/__main__.py
+++ b/paddlequay/__main__.py
@@ -103,7 +103,8 @@
         """Serve until SIGTERM, then end in order."""
         work = (self.follower.follow(), self.sweeping(), self.beating())
         tasks = [self.background(each) for each in work]
-        log.event(LOGGER, logging.INFO, "started")
+        limits = self.limits
+        log.event(LOGGER, logging.INFO, "started", cores=limits.cores, clients=limits.client_connections)
         await self.stop.wait()
         await self.end()
         for task in tasks:
--- a/paddlequay/config.py
+++ b/paddlequay/config.py
@@ -38,6 +38,7 @@
     part_most: int = 65_535
     group_most: int = 255
     open_requests: int = 20000
+    held_bodies: int = 24 * 1024 * 1024
     answer_margin: float = 0.025  # of the time to live: the way from and to the client
     busy_pushback: float = 0.2  # told where the router itself, not the decisions, turns a request away
     client_chunk: int = 4096  # some 25 requests: what waits behind them, purges above all, has its turn
@@ -126,6 +127,7 @@
         cores=positive(data, "limits.cores", 1.0),
         all_unsent=int(memory / 4),
         client_unsent=int(memory / 16),
+        held_bodies=int(memory / 8),
         open_requests=int(positive(wire, "limits.maxOpen", 20000)),
         connect_timeout=positive(wire, "limits.dialTimeout", 0.4),
         cache_streams=int(positive(wire, "limits.streamsPerConn", 32)),
--- a/paddlequay/exchange.py
+++ b/paddlequay/exchange.py
@@ -107,6 +107,7 @@
     note: Note | None = None
     waited: float | None = None
     load: tuple[tuple[str, float], ...] = ()
+    silent: bool = False
 
 
 class Timer(Protocol):
@@ -124,9 +125,9 @@
 
 
 class Carrier(Protocol):
-    """What has taken charge of an attempt, such as a connection."""
+    """What has taken charge of an attempt, such as a connection; says whether it was silent since."""
 
-    def abandon(self, attempt: "Attempt") -> None: ...
+    def abandon(self, attempt: "Attempt") -> bool: ...
 
 
 class Caches(Protocol):
@@ -178,6 +179,7 @@
         self.caches: Caches | None = None
         self.open: dict[str, Open] = {}
         self.ids: set[str] = set()
+        self.held = 0  # bytes of bodies of open requests
         self.members: dict[str, Member] = {}
         self.purges: dict[tuple[str, int | None], float] = {}
         self.serials = 0
@@ -192,7 +194,10 @@
         """Take a request; `reply` is called exactly once, unless `withdraw` comes first."""
         now = self.scheduler.monotonic()
         self.counters.add(f"asked.{ask.class_name}")
-        if len(self.open) >= self.limits.open_requests:
+        full = self.held + len(ask.body) > self.limits.held_bodies
+        if full or len(self.open) >= self.limits.open_requests:
+            # Bodies wait here for their caches: thirty-two of 48,000 bytes on each connection are more than a
+            # small router has.
             self.counters.add("refused.too_many_open")
             reply(Reply(Verdict.REFUSED, retry_in=self.limits.busy_pushback))
             return None
@@ -202,6 +207,7 @@
             reply(Reply(Verdict.FAILED))
             return None
         self.ids.add(ask.id)
+        self.held += len(ask.body)
         self.serials += 1
         left = ask.ttl - self.limits.answer_margin
         item = Open(f"q{self.serials}", ask, reply, now, now + left)
@@ -334,6 +340,7 @@
                 note=end.note,
                 waited=end.waited,
                 load=end.load,
+                silent=end.silent,
             )
         )
 
@@ -403,8 +410,8 @@
         """Out of time: proved idle where it was never written, else it may have run."""
         if not attempt.over:
             ran = attempt.written is not None
-            self.drop(attempt)
-            self.end(attempt, End(Outcome.TIMEOUT if ran else Outcome.NOT_SENT))
+            silent = self.drop(attempt)
+            self.end(attempt, End(Outcome.TIMEOUT if ran else Outcome.NOT_SENT, silent=silent))
 
     def cancel(self, action: Cancel) -> None:
         item = self.open.get(action.request)
@@ -415,9 +422,8 @@
         self.drop(attempt)
         self.end(attempt, End(Outcome.CANCELLED if ran else Outcome.NOT_SENT))
 
-    def drop(self, attempt: Attempt) -> None:
-        if attempt.carrier is not None:
-            attempt.carrier.abandon(attempt)
+    def drop(self, attempt: Attempt) -> bool:
+        return attempt.carrier is not None and attempt.carrier.abandon(attempt)
 
     def finish(self, item: Open, reply: Reply) -> None:
         """The one final answer."""
@@ -429,6 +435,7 @@
         """The request is over; attempts that are still out are given up."""
         del self.open[item.serial]
         self.ids.discard(item.ask.id)
+        self.held -= len(item.ask.body)
         if item.guard is not None:
             item.guard.cancel()
         for attempt in item.attempts:
--- a/paddlequay/interface.py
+++ b/paddlequay/interface.py
@@ -166,6 +166,7 @@
     note: Note | None = None
     waited: float | None = None
     load: tuple[tuple[str, float], ...] = ()
+    silent: bool = False  # no byte came on its connection since it was written
 
 
 @dataclass(frozen=True, slots=True)
--- a/paddlequay/logic.py
+++ b/paddlequay/logic.py
@@ -647,6 +647,9 @@
         cut_off = event.note is Note.ORIGIN_FAILED
         # Another parent would have to ask the same origin: what is held may still do.
         item.unfillable = item.unfillable or cut_off
+        if event.silent:
+            # The connection brought nothing for anybody: no word on the source, nor on anybody's load.
+            return self.fail(blamed, True)
         if event.outcome in (Outcome.TIMEOUT, Outcome.REFUSED):
             self.pace(blamed, True)
         if event.outcome is Outcome.REFUSED and self.settings.notes and not cut_off:
@@ -668,7 +671,7 @@
         if event.note in SOURCE_NOTES:
             return attempt.source
         own = event.note is Note.FILLS_FULL or event.outcome in (Outcome.UNREACHED, Outcome.RESET)
-        own = own or (bool(self.settings.notes) and event.outcome is not Outcome.TIMEOUT)
+        own = own or event.silent or (bool(self.settings.notes) and event.outcome is not Outcome.TIMEOUT)
         return attempt.source if attempt.fills and not own else attempt.target
 
     def succeed(self, server: Server) -> None:
--- a/paddlequay/net/caches.py
+++ b/paddlequay/net/caches.py
@@ -200,18 +200,21 @@
             # as a spoilt connection, one such answer ended all good ones that were on their way.
             self.pool.counters.add("answers_not_asked")
 
-    def abandon(self, attempt: Attempt) -> None:
+    def abandon(self, attempt: Attempt) -> bool:
+        """Give an attempt up; and has nothing at all come since it was written?"""
+        quiet = attempt.written is not None and self.heard <= attempt.written
         if self.out.get(attempt.id) is attempt:
             del self.out[attempt.id]
             # A machine that vanished leaves its connections open and says nothing on them: one that has
             # brought no byte since this attempt was written takes nothing new until it does.
             timed_out = self.pool.now() >= attempt.expires
-            if timed_out and attempt.written is not None and self.heard <= attempt.written:
+            if timed_out and quiet:
                 self.silent = True
             if not self.stream.closed():
                 self.stream.write(wire.quit_(attempt.id))
         elif attempt in self.waiting:
             self.waiting.remove(attempt)
+        return quiet
 
     def unheard(self, heard: float) -> list[float]:
         """When what is out was written, as far as that was after the byte heard last."""
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -217,6 +217,22 @@
     assert look.source == look.target
 
 
+@pytest.mark.parametrize("silent", [True, False])
+def test_a_time_out_on_a_silent_connection_is_not_held_against_the_source(silent: bool) -> None:
+    """r969070: parents were held to be jammed for a connection to an edge that had gone silent."""
+    driver = Driver(notes=True)
+    fetch = driver.fetch()
+    source = driver.router.servers[fetch.source]
+    limit = source.limit
+    for number in range(SKIP_FAILURES):
+        driver.now += 1.0
+        late = driver.fetch(key=100 * number) if number else fetch
+        event = AttemptEnded(late.request, 0, late.target, Outcome.TIMEOUT, 1.0, silent=silent)
+        again = fetches(driver.router.handle(event, driver.now))
+        assert (again[0].target == late.target) is not silent
+    assert (source.limit == limit and not source.failures) is silent
+
+
 def test_a_plain_error_is_held_against_a_member_only_if_it_serves_nobody() -> None:
     """rude+garble+fleet: what no cache can use is answered 'error' by each that it is sent to."""
     driver = Driver(notes=True)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -65,6 +65,20 @@
     assert client.answer() == [1, 1, None, [b"", {"current": "1"}]]
 
 
+def test_bodies_that_wait_are_bounded_by_the_memory_granted() -> None:
+    with platform(limits={"sockets": 60, "memory_mb": 1}) as p:
+        client = p.client()
+        for number in range(4):
+            client.ask("charge", bytes(40_000), row=f"{number:016x}")
+        assert client.answer()[1:3] == [4, ["TryLater", {"pushback": "200"}]]
+        for _ in range(3):
+            p.origin.answer("HIT", "-", b"done")
+        assert [client.answer()[2] for _ in range(3)] == [None] * 3
+        client.ask("charge", bytes(40_000))
+        p.origin.answer("HIT", "-", b"done")
+        assert client.answer()[3][0] == b"done"
+
+
 @pytest.mark.parametrize(
     ("word", "verdict"), [("SHED", "TryLater"), ("NONE", "TryLater"), ("FAULT", "Aborted")]
 )
