Choose a connection in one pass and yield only where a read may not have waited

At fault: Instance.choose asked each of up to eight connections twice and built two lists for each attempt; every read ended in a turn of the loop; Instance.watch walked all that is out at each beat. Now one pass, a turn after full reads and each fourth, and a walk only where nothing was heard for the set time.

--- a/paddlequay/net/caches.py
+++ b/paddlequay/net/caches.py
@@ -131,13 +131,16 @@
         self.up = True
         self.heard = self.pool.now()
         self.write_waiting()
+        reads = 0
         try:
             while True:
                 data = await self.stream.read_bytes(self.limits.read_chunk, partial=True)
                 self.heard, self.silent = self.pool.now(), False
                 for answer in self.reader.feed(data):
                     self.answered(answer)
-                await asyncio.sleep(0)  # a read of what is there already does not yield: others have a turn
+                reads += 1
+                if len(data) == self.limits.read_chunk or reads % 4 == 0:
+                    await asyncio.sleep(0)  # a read of what is there does not yield: others have a turn
         except StreamClosedError:
             pass
         except wire.MalformedError as error:
@@ -229,8 +232,10 @@
         Most answers come within tens of milliseconds, so that many do not all wait for fills. Left to their
         time-outs, they were blamed on the sources of their fills, whose limits were cut for it.
         """
-        since = self.unheard(self.heard)
         limits = self.pool.limits
+        if now - self.heard <= limits.cache_silence:
+            return False
+        since = self.unheard(self.heard)
         return len(since) >= limits.cache_unheard and now - min(since) > limits.cache_silence
 
     @property
@@ -265,20 +270,27 @@
         idle, each cost thirty. So many connections as are needed are used, and the rest close as idle.
         """
         limits = self.pool.limits
-        usable = [connection for connection in self.connections if connection.takes(attempt)]
-        few = [connection for connection in usable if connection.load < limits.cache_share]
-        if few:
-            return max(few, key=lambda connection: connection.load)
-        idle = [connection for connection in self.connections if connection.idle]
-        if attempt.once and not usable and idle and len(self.connections) >= limits.cache_connections:
-            self.forget(idle[0])
-            idle[0].stream.close()
+        few = spare = None
+        few_load, spare_load = -1, limits.cache_streams
+        for connection in self.connections:  # one pass, as each attempt makes it
+            load = connection.load
+            if few_load < load < limits.cache_share:
+                if connection.takes(attempt):
+                    few, few_load = connection, load
+            elif few is None and limits.cache_share <= load < spare_load and connection.takes(attempt):
+                spare, spare_load = connection, load
+        if few is not None:
+            return few
+        if attempt.once and spare is None and len(self.connections) >= limits.cache_connections:
+            for connection in [each for each in self.connections if each.idle][:1]:
+                self.forget(connection)
+                connection.stream.close()
         if len(self.connections) < limits.cache_connections and self.pool.has_room():
             connection = Connection(self.pool, self)
             self.connections.append(connection)
             self.pool.spawn(connection)
             return connection
-        return min(usable, key=lambda connection: connection.load, default=None)
+        return spare
 
     def forget(self, connection: Connection) -> None:
         if connection in self.connections:
@@ -287,10 +299,12 @@
     def watch(self, now: float) -> None:
         """Close what has fallen silent under requests, and what stopped inside an answer: whatever comes next
         on that one would be read as its rest."""
-        heard = max((connection.heard for connection in self.connections), default=now)
         limits = self.pool.limits
-        since = [at for connection in self.connections for at in connection.unheard(heard)]
-        all_silent = len(since) >= limits.instance_unheard and now - min(since) > limits.cache_silence
+        heard = max((connection.heard for connection in self.connections), default=now)
+        all_silent = False
+        if now - heard > limits.cache_silence:
+            since = [at for connection in self.connections for at in connection.unheard(heard)]
+            all_silent = len(since) >= limits.instance_unheard and now - min(since) > limits.cache_silence
         for connection in self.connections[:]:
             if connection.reader.begun and now - connection.heard > self.pool.limits.cache_stall:
                 self.pool.counters.add("stalled_answers")
--- a/paddlequay/net/clients.py
+++ b/paddlequay/net/clients.py
@@ -95,7 +95,7 @@
         self.turned = 0  # refusals and errors since the last other answer
 
     async def run(self) -> None:
-        counters = self.front.counters
+        counters, reads = self.front.counters, 0
         try:
             while True:
                 data = await self.stream.read_bytes(self.front.limits.client_chunk, partial=True)
@@ -110,8 +110,10 @@
                     self.half = self.used
                 # A read of what is there already does not yield: one client at full speed would keep the loop
                 # to itself. One that is only turned away is read more slowly, which costs nobody else.
+                reads += 1
                 slow = self.turned >= self.front.limits.client_turned
-                await asyncio.sleep(self.front.limits.client_pause if slow else 0)
+                if slow or len(data) == self.front.limits.client_chunk or reads % 4 == 0:
+                    await asyncio.sleep(self.front.limits.client_pause if slow else 0)
         except StreamClosedError:
             pass
         except MalformedError as error:
