A second process takes over from the first without a loss; a console says ready

At fault: the listener of __main__.py, bound without SO_REUSEPORT, and Program.end, which kept connections until the exit.

Ruled out: losses at the door (0), start-up time (0.3 to 1.7 s of 6).

--- a/paddlequay/__main__.py
+++ b/paddlequay/__main__.py
@@ -6,23 +6,27 @@
 import logging
 import os
 import signal
+import socket
 import sys
 import time
-from collections.abc import Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
-from tornado.netutil import bind_sockets
-
 from paddlequay import log
-from paddlequay.config import Config, ConfigError, read_config
+from paddlequay.config import Address, Config, ConfigError, read_config
 from paddlequay.counters import Counters
 from paddlequay.exchange import Exchange, Timer
 from paddlequay.load import OwnLoad
 from paddlequay.logic import Router
+from paddlequay.net import door
 from paddlequay.net.bulletin import Follower
 from paddlequay.net.caches import Pool
 from paddlequay.net.clients import Front
+from paddlequay.net.console import Console
+from paddlequay.net.twin import Twin
+from paddlequay.operation import Operation
 from paddlequay.protocol import bulletin
+from paddlequay.shares import Held, Shares
 
 LOGGER = logging.getLogger("paddlequay.main")
 
@@ -48,29 +52,40 @@
 
     def __init__(self, config: Config) -> None:
         loop = asyncio.get_running_loop()
+        self.config = config
         self.limits = config.limits
         self.counters = Counters()
+        self.operation = Operation(config.file("json"))
+        self.shares = Shares(self.limits)
         router = Router(config.settings, config.seed)
-        self.exchange = Exchange(router, self.limits, LoopScheduler(loop), self.counters)
-        self.pool = Pool(self.exchange, self.limits, self.counters)
+        self.exchange = Exchange(router, self.shares, self.limits, LoopScheduler(loop), self.counters)
+        self.pool = Pool(self.exchange, self.shares, self.limits, self.counters)
         self.follower = Follower(config.bulletin, self.exchange, self.pool, self.limits, self.counters)
         self.load = OwnLoad(self.limits, config.seed)
-        self.front = Front(self.exchange, self.limits, self.counters, self.load)
+        self.front = Front(self.exchange, self.shares, self.limits, self.counters, self.load)
+        self.twin = Twin(config.file("sock"), self.operation, self.shares, self.limits, self.counters)
+        self.twin.on_newer, self.twin.on_replaced = self.make_way, self.give_way
+        self.console = Console(self.operation, self.front, self.twin, self.limits, self.counters)
         try:
             self.follower.start_from(config.known)
         except bulletin.MalformedError as error:
             raise ConfigError(f"known: {error}") from None
-        host, port = config.listen
-        try:
-            self.front.add_sockets(bind_sockets(port, host, backlog=1024))
-        except OSError as error:
-            raise ConfigError(f"listen: {host}:{port}: {error.strerror}") from None
+        self.door = self.bind("listen", config.listen)
+        if config.console is not None:
+            self.console.listen(self.bind("console", config.console))
         self.stop = asyncio.Event()
         for name in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(name, self.stop.set)
         loop.add_signal_handler(signal.SIGUSR1, self.counters.print, "asked")
         loop.add_signal_handler(signal.SIGHUP, self.reload)
 
+    @staticmethod
+    def bind(name: str, address: Address) -> socket.socket:
+        try:
+            return door.bound(address)
+        except OSError as error:
+            raise ConfigError(f"{name}: {address[0]}:{address[1]}: {error.strerror}") from None
+
     def reload(self) -> None:
         """Read the configuration anew; of what changes, the bulletin's address can be taken up while serving.
 
@@ -86,6 +101,17 @@
         host, port = config.bulletin
         log.event(LOGGER, logging.INFO, "reloaded", bulletin=f"{host}:{port}")
 
+    def give_way(self) -> None:
+        """Beside a newer process that takes clients: keep what there is, and have it become less."""
+        self.front.shedding = True
+        self.twin.give(Held(len(self.front.sessions), len(self.pool.held())))
+
+    def make_way(self) -> None:
+        """Beside a newer process that is not ready yet: leave it half of what is free."""
+        limits, held = self.limits, len(self.front.sessions)
+        caches = (limits.all_cache_connections - limits.own_descriptors) // 2
+        self.twin.give(Held((held + limits.client_connections + 1) // 2, max(4, caches)))
+
     async def sweeping(self) -> None:
         """What is looked at now and then rather than at an event."""
         while True:
@@ -95,23 +121,59 @@
 
     async def beating(self) -> None:
         while True:
+            if self.front.shedding:
+                self.front.shed()
+            if self.twin.replaced:
+                self.give_way()
             # After a late beat, what has come is not read yet: no silence can be told from that.
             if self.load.beat(time.monotonic(), time.process_time()):
                 self.pool.watch()
             await asyncio.sleep(self.limits.beat)
 
+    async def take_over(self) -> None:
+        """Begin to serve: at once, or beside an older process once this one knows and holds what it needs."""
+        began = time.monotonic()
+        older = await self.twin.find()
+        if older:
+            work = [self.follower.current.wait(), self.pool.warm(self.exchange.router.names_of_edges())]
+            with contextlib.suppress(TimeoutError):
+                # Where the older one ends before, clients have nobody else.
+                async with asyncio.timeout(self.limits.warm_longest):
+                    await self.either(asyncio.gather(*work), self.twin.alone())
+        self.front.listen(self.door)
+        if self.twin.older is not None:
+            door.steer(self.door)
+            self.twin.tell_ready()
+        log.event(LOGGER, logging.INFO, "serving", beside_older=older, after=time.monotonic() - began)
+
+    @staticmethod
+    async def either(*work: Awaitable[Any]) -> None:
+        """Wait for the first that is done; the others are given up."""
+        tasks = [asyncio.ensure_future(each) for each in work]
+        try:
+            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for task in tasks:
+                task.cancel()
+
     async def run(self) -> None:
         """Serve until SIGTERM, then end in order."""
+        try:
+            self.operation.load()
+        except (OSError, ValueError) as error:
+            log.event(LOGGER, logging.WARNING, "bans_unreadable", path=self.operation.path, why=str(error))
         work = (self.follower.follow(), self.sweeping(), self.beating())
         tasks = [self.background(each) for each in work]
         limits = self.limits
         log.event(LOGGER, logging.INFO, "started", cores=limits.cores, clients=limits.client_connections)
+        await self.take_over()
         await self.stop.wait()
         await self.end()
         for task in tasks:
             task.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await task
+        self.twin.close()
         self.counters.print("exit")
 
     @staticmethod
@@ -119,19 +181,35 @@
         return asyncio.ensure_future(work)
 
     async def end(self) -> None:
-        """Connections keep coming for a while after SIGTERM, and requests on open ones a little longer."""
+        """End once all that was taken is answered.
+
+        Beside a newer process, which takes what is new, connections close at their next quiet moment. Alone,
+        connections keep coming for a while after SIGTERM, and requests on open ones a little longer.
+        """
         now = asyncio.get_running_loop().time
         began = now()
-        self.front.ready = False
-        log.event(LOGGER, logging.INFO, "ending", open=len(self.exchange.open))
-        await asyncio.sleep(self.limits.accept_after_term)
-        self.front.stop()
-        await asyncio.sleep(self.limits.serve_after_term - self.limits.accept_after_term)
-        while self.exchange.open and now() - began < self.limits.drain_longest:
+        front, limits = self.front, self.limits
+        front.ending = True
+        log.event(LOGGER, logging.INFO, "ending", open=len(self.exchange.open), replaced=self.twin.replaced)
+        while not self.twin.replaced and now() - began < limits.accept_after_term:
+            await asyncio.sleep(0.01)
+        front.replaced = self.twin.replaced
+        front.close_door()
+        while not self.twin.replaced and now() - began < limits.serve_after_term:
+            await asyncio.sleep(0.01)
+        front.shedding = True
+        while now() - began < limits.drain_longest:
+            front.turning_away = now() - began > limits.drain_refuse
+            front.shed()
+            patient = now() - began < limits.half_longest
+            if not self.exchange.open and all(each.reader.rest and not patient for each in front.sessions):
+                break
             await asyncio.sleep(0.01)
-        flushed_by = now() + self.limits.flush_longest
-        while self.front.unsent and now() < flushed_by:
+        self.exchange.surrender()
+        flushed_by = now() + limits.flush_longest
+        while front.unsent and now() < flushed_by:
             await asyncio.sleep(0.01)
+        log.event(LOGGER, logging.INFO, "ended", after=now() - began, connections=len(front.sessions))
 
 
 async def serve(config: Config) -> None:
--- a/paddlequay/config.py
+++ b/paddlequay/config.py
@@ -1,15 +1,20 @@
 """What the router is told at its start, from environment and JSON file, and the limits that follow."""
 
 import json
+import tempfile
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from pathlib import Path
 from typing import Any
+from urllib.parse import quote
 
 from paddlequay.interface import Settings
 from paddlequay.settings import SettingsError, settings_from
 
 Address = tuple[str, int]
 
+OWN_DESCRIPTORS = 40  # listeners, console, bulletin, link to the other process, event loop, log
+
 
 class ConfigError(ValueError):
     """A configuration that cannot be used, said in one plain line."""
@@ -74,9 +79,25 @@
     # The end.
     accept_after_term: float = 0.5
     serve_after_term: float = 0.75
-    drain_longest: float = 6.6
+    drain_longest: float = 3.5  # then all that is open is given up
+    drain_refuse: float = 2.0  # connections that are never quiet get nothing new done from here on
     flush_longest: float = 0.5
+    late_comer: float = 0.5  # who has connected this lately and asked nothing yet is about to
+    # One process replaces another.
+    twin_line: int = 1024 * 1024
+    twin_connect: float = 1.0
+    confirm_longest: float = 0.6  # the other process obeys an order; the call is owed its answer within 1 s
+    warm_longest: float = 2.5  # bulletin and connections of a newer process, whose yes is due within 6 s
+    half_longest: float = 2.5  # at the end, a message that is not whole is waited for
+    # The operators' console.
+    console_connections: int = 16
+    console_head: int = 8 * 1024
+    console_body: int = 64 * 1024
+    console_half: float = 5.0  # to a whole call
+    console_longest: float = 8.0
+    console_linger: float = 0.3  # after the answer, for what the caller still sends
     # All.
+    own_descriptors: int = OWN_DESCRIPTORS
     read_chunk: int = 64 * 1024
     sweep: float = 0.25
 
@@ -92,6 +113,12 @@
     settings: Settings
     known: Mapping[str, Any]
     limits: Limits = field(default_factory=Limits)
+    console: Address | None = None
+    folder: Path = Path(tempfile.gettempdir())  # for what outlives this process
+
+    def file(self, ending: str) -> Path:
+        """A file of this router's own."""
+        return self.folder / f"paddlequay-{quote(self.name, safe='')[:60]}.{ending}"
 
 
 def address(text: Any, name: str) -> Address:
@@ -123,8 +150,8 @@
     clients = max(1, int(sockets / 3) - 1)
     return Limits(
         client_connections=clients,
-        # The rest is for listener, bulletin, event loop and log, and for sockets about to be closed.
-        all_cache_connections=max(4, int(sockets) - clients - 24),
+        # The rest is for what the program needs by itself, and for sockets about to be closed.
+        all_cache_connections=max(4, int(sockets) - clients - OWN_DESCRIPTORS),
         cores=positive(data, "limits.cores", 1.0),
         all_unsent=int(memory / 4),
         client_unsent=int(memory / 16),
@@ -137,7 +164,8 @@
         cache_silence=1.1 * sum(kind.aim for kind in settings.classes) / len(settings.classes),
         attempts=int(positive(wire, "limits.attemptsCap", 6)),
         purge_memory=positive(wire, "extra.clearedWithin", 6.0),
-        drain_longest=max(3.0, max(kind.deadline for kind in settings.classes)) + 0.6,
+        # It is killed 0.7 s after the longest deadline, which counts as 3 s where it is longer.
+        drain_longest=min(3.0, max(kind.deadline for kind in settings.classes)) + 0.5,
     )
 
 
@@ -156,6 +184,7 @@
     known = data.get("known") or {"no": 0, "items": []}
     if not (isinstance(known, dict) and isinstance(known.get("items"), list)):
         raise ConfigError("known: expected an object with no and items")
+    console = environment.get("ROUTER_CONSOLE") or data.get("console")
     try:
         settings = settings_from(data["settings"])
         seed = int(str(data.get("seed") or "0"), 16)
@@ -171,4 +200,6 @@
         settings=settings,
         known=known,
         limits=limits_from(data, settings),
+        console=None if console is None else address(console, "console"),
+        folder=Path(environment.get("TMPDIR") or tempfile.gettempdir()),
     )
--- a/paddlequay/exchange.py
+++ b/paddlequay/exchange.py
@@ -36,9 +36,11 @@
     SetTimer,
     State,
     Subscribe,
+    Surrender,
     TimerDue,
 )
 from paddlequay.logic import Router
+from paddlequay.shares import Shares
 
 LOGGER = logging.getLogger(__name__)
 
@@ -173,8 +175,11 @@
 class Exchange:
     """Open requests, timers, events in, actions out."""
 
-    def __init__(self, router: Router, limits: Limits, scheduler: Scheduler, counters: Counters) -> None:
+    def __init__(
+        self, router: Router, shares: Shares, limits: Limits, scheduler: Scheduler, counters: Counters
+    ) -> None:
         self.router = router
+        self.shares = shares
         self.limits = limits
         self.scheduler = scheduler
         self.counters = counters
@@ -196,7 +201,7 @@
         """Take a request; `reply` is called exactly once, unless `withdraw` comes first."""
         now = self.scheduler.monotonic()
         self.counters.add(f"asked.{ask.class_name}")
-        full = self.held + len(ask.body) > self.limits.held_bodies
+        full = self.held + len(ask.body) > self.limits.held_bodies * self.shares.part
         if full or len(self.open) >= self.limits.open_requests:
             # Bodies wait here for their caches: thirty-two of 48,000 bytes on each connection are more than a
             # small router has.
@@ -243,6 +248,12 @@
             self.finish(item, Reply(Verdict.FAILED))
             self.deliver(ClientGone(item.serial))
 
+    def surrender(self) -> None:
+        """Give all open requests their final answers now: the router is being emptied."""
+        for serial in list(self.open):
+            self.counters.add("surrendered")
+            self.deliver(Surrender(serial))
+
     # --- from discovery ---
 
     def list_changed(self, members: tuple[Member, ...], full: bool) -> None:
--- a/paddlequay/interface.py
+++ b/paddlequay/interface.py
@@ -176,6 +176,13 @@
     request: str
 
 
+@dataclass(frozen=True, slots=True)
+class Surrender:
+    """The router is being emptied and has no more time for this request: its final answer is due now."""
+
+    request: str
+
+
 @dataclass(frozen=True, slots=True)
 class Purged:
     """An object, or without `key` a whole group, was purged `age` seconds ago."""
@@ -192,7 +199,7 @@
     token: str
 
 
-Event = MembersChanged | Request | Started | AttemptEnded | ClientGone | Purged | TimerDue
+Event = MembersChanged | Request | Started | AttemptEnded | ClientGone | Surrender | Purged | TimerDue
 
 
 @dataclass(frozen=True, slots=True)
--- a/paddlequay/logic.py
+++ b/paddlequay/logic.py
@@ -36,6 +36,7 @@
     Started,
     State,
     Subscribe,
+    Surrender,
     TimerDue,
 )
 
@@ -242,6 +243,8 @@
                 self.open[event.request].streaming = True
             case ClientGone():
                 self.close(event.request)
+            case Surrender() if event.request in self.open:
+                self.give_up(self.open[event.request])
             case Purged():
                 self.on_purged(event)
             case TimerDue(token="subscribe"):
@@ -285,6 +288,10 @@
         self.sharers[Tier.PARENT] = max(1, len(self.parents)) / fills
         self.sharers[Tier.ORIGIN] = max(1, len(self.origins)) / fills
 
+    def names_of_edges(self) -> list[str]:
+        """Whom requests go to first: their connections can be made beforehand."""
+        return [edge.entry.name for edge in self.edges]
+
     def drop(self, name: str) -> None:
         """Forget a member that is gone or has started anew: neither its health nor its copies live on."""
         if name in self.servers:
--- a/paddlequay/net/bulletin.py
+++ b/paddlequay/net/bulletin.py
@@ -28,6 +28,7 @@
         self.limits, self.counters = limits, counters
         self.last = 0
         self.stream: IOStream | None = None
+        self.current = asyncio.Event()  # all events that were out at some time since the start have come
 
     def move(self, address: Address) -> None:
         """Follow the bulletin at another address from now on. The numbers go on, so nothing is had anew."""
@@ -47,6 +48,7 @@
             if isinstance(item, wire.Heartbeat):
                 if item.number > self.last:
                     raise wire.MalformedError(f"{item.number} events are out, {self.last} came")
+                self.current.set()
                 continue
             if item.number <= self.last:
                 continue
--- a/paddlequay/net/caches.py
+++ b/paddlequay/net/caches.py
@@ -15,6 +15,7 @@
 from paddlequay.interface import Note, Outcome, State
 from paddlequay.protocol import caches as wire
 from paddlequay.protocol.bulletin import Listed
+from paddlequay.shares import Shares
 
 LOGGER = logging.getLogger(__name__)
 
@@ -325,8 +326,8 @@
 class Pool:
     """All instances by name; carries attempts for the exchange."""
 
-    def __init__(self, exchange: Exchange, limits: Limits, counters: Counters) -> None:
-        self.exchange, self.limits, self.counters = exchange, limits, counters
+    def __init__(self, exchange: Exchange, shares: Shares, limits: Limits, counters: Counters) -> None:
+        self.exchange, self.shares, self.limits, self.counters = exchange, shares, limits, counters
         self.instances: dict[str, Instance] = {}
         self.leaving: list[Instance] = []
         self.tasks: set[asyncio.Task[None]] = set()
@@ -368,10 +369,31 @@
             if at_once or connection.idle:
                 connection.stream.close()
 
+    def held(self) -> list[Connection]:
+        return [c for each in [*self.instances.values(), *self.leaving] for c in each.connections]
+
+    async def warm(self, names: Iterable[str]) -> None:
+        """Have a connection to each of these before the first request comes."""
+        made = []
+        for instance in [self.instances[name] for name in names if name in self.instances]:
+            if not instance.connections and self.has_room():
+                made.append(Connection(self, instance))
+                instance.connections.append(made[-1])
+                self.spawn(made[-1])
+        while any(not each.up and not each.stream.closed() for each in made):
+            await asyncio.sleep(0.01)
+
+    def shrink(self) -> None:
+        """Close idle connections beyond the share, the longest idle first."""
+        held = self.held()
+        idle = sorted((c for c in held if c.idle), key=lambda connection: connection.used)
+        for connection in idle[: max(0, len(held) - self.shares.caches)]:
+            connection.stream.close()
+
     def has_room(self) -> bool:
         """Room for one more connection to any instance; the one that has been idle for longest makes it."""
-        held = [c for each in [*self.instances.values(), *self.leaving] for c in each.connections]
-        if len(held) < self.limits.all_cache_connections:
+        held = self.held()
+        if len(held) < self.shares.caches:
             return True
         idle = [connection for connection in held if connection.idle and not connection.stream.closed()]
         if idle:
@@ -393,6 +415,7 @@
     def sweep(self) -> None:
         """Now and then: idle connections, and what is left of gone instances."""
         now = self.now()
+        self.shrink()
         for instance in [*self.instances.values(), *self.leaving]:
             instance.sweep(now)
         self.leaving = [instance for instance in self.leaving if instance.connections]
--- a/paddlequay/net/clients.py
+++ b/paddlequay/net/clients.py
@@ -3,11 +3,12 @@
 import asyncio
 import logging
 import re
-from collections.abc import Mapping
+import socket
+from collections.abc import Callable, Mapping
 from typing import Any
 
 from tornado.iostream import IOStream, StreamClosedError
-from tornado.tcpserver import TCPServer
+from tornado.netutil import add_accept_handler
 
 from paddlequay import log
 from paddlequay.config import Limits
@@ -15,8 +16,10 @@
 from paddlequay.exchange import Ask, Exchange, Open, Reply, Verdict
 from paddlequay.interface import Effect, RequestClass
 from paddlequay.load import OwnLoad
+from paddlequay.net import door
 from paddlequay.protocol import clients as wire
 from paddlequay.protocol.msgpack import MalformedError
+from paddlequay.shares import Shares
 
 LOGGER = logging.getLogger(__name__)
 
@@ -93,12 +96,15 @@
         self.spoken = False  # whether a whole message has come
         self.half: float | None = None  # since when a message has been coming that is not whole
         self.turned = 0  # refusals and errors since the last other answer
+        self.reading = False  # nothing that came is still to be looked at
 
     async def run(self) -> None:
         counters, reads = self.front.counters, 0
         try:
             while True:
+                self.reading = True
                 data = await self.stream.read_bytes(self.front.limits.client_chunk, partial=True)
+                self.reading = False
                 self.used = self.front.now()
                 whole = False
                 for message in self.reader.feed(data):
@@ -133,7 +139,7 @@
     def take(self, message: wire.Message) -> None:
         match message:
             case wire.Alive():
-                self.send(wire.alive_answer(message.number, self.front.ready))
+                self.send(wire.alive_answer(message.number, self.front.takes()))
             case wire.Withdrawn():
                 for number in message.numbers:
                     item = self.open.pop(number, None)
@@ -159,6 +165,9 @@
         except FieldError as error:
             counters.add("bad_fields")
             return self.reject(number, str(error))
+        if self.front.turning_away:
+            counters.add("refused.emptying")
+            return self.answer(number, self.front.elsewhere)
         if len(self.open) >= self.front.limits.client_streams:
             counters.add("refused.too_many_streams")
             return self.answer(number, Reply(Verdict.REFUSED, retry_in=self.front.limits.busy_pushback))
@@ -197,7 +206,7 @@
         self.used = self.front.now()
         if not self.unsent:
             self.moved = self.used
-        if self.unsent + size > limits.client_unsent or self.front.unsent + size > limits.all_unsent:
+        if self.unsent + size > limits.client_unsent or self.front.unsent + size > self.front.most_unsent:
             self.front.counters.add("slow_readers")
             return self.stream.close()
         self.unsent += size
@@ -218,25 +227,97 @@
         self.unsent -= size
         self.front.unsent -= size
         self.moved = self.front.now()
+        if self.front.shedding:
+            self.close_if_quiet()
 
+    def quiet(self) -> bool:
+        """Nothing owed, nothing on its way out, nothing that came unread, nor a part of a message."""
+        if self.open or self.unsent or self.reader.rest or not self.reading or self.stream.closed():
+            return False
+        try:
+            return not self.stream.socket.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
 
-class Front(TCPServer):
-    """The listener for clients. Another front beside it would speak to the same exchange."""
+    def close_if_quiet(self) -> bool:
+        """Close at a moment that costs nobody a request; who has just connected is about to ask."""
+        late_comer = not self.spoken and self.front.now() - self.began < self.front.limits.late_comer
+        if late_comer or not self.quiet():
+            return False
+        self.stream.close()
+        self.front.counters.add("closed_quiet_clients")
+        return True
 
-    def __init__(self, exchange: Exchange, limits: Limits, counters: Counters, load: OwnLoad) -> None:
-        super().__init__(max_buffer_size=2 * limits.client_frame, read_chunk_size=limits.client_chunk)
-        self.exchange, self.limits, self.counters = exchange, limits, counters
+
+class Front:
+    """The clients' door and their connections. Another front beside it would speak to the same exchange."""
+
+    def __init__(
+        self, exchange: Exchange, shares: Shares, limits: Limits, counters: Counters, load: OwnLoad
+    ) -> None:
+        self.exchange, self.shares, self.limits, self.counters = exchange, shares, limits, counters
         self.sessions: set[Session] = set()
+        self.tasks: set[asyncio.Task[None]] = set()
         self.load = load
         self.too_busy = Reply(Verdict.REFUSED, retry_in=limits.shed_pushback)
         self.unsent = 0
-        self.ready = True
+        self.listener: socket.socket | None = None
+        self.stop_listening: Callable[[], None] | None = None
+        self.ending = False  # SIGTERM has come
+        self.replaced = False  # and a newer process takes clients
+        self.shedding = False  # connections close at their next quiet moment
+        self.turning_away = False  # and those that never have one are given one
+        self.elsewhere = Reply(Verdict.REFUSED, retry_in=limits.busy_pushback)
 
     def now(self) -> float:
         return self.exchange.scheduler.monotonic()
 
-    async def handle_stream(self, stream: IOStream, address: tuple[str, int]) -> None:
-        if len(self.sessions) >= self.limits.client_connections and not self.make_room():
+    @property
+    def most_unsent(self) -> float:
+        return self.limits.all_unsent * self.shares.part
+
+    def takes(self) -> bool:
+        """What the platform is told that asks at the clients' address, where two processes are one router."""
+        return not self.ending or self.replaced
+
+    def closed_for(self) -> str:
+        """Why this process takes no clients; empty while it does."""
+        if self.ending:
+            return "this process is ending"
+        return "" if self.listener is not None else "starting: bulletin and connections are not there yet"
+
+    def listen(self, listener: socket.socket) -> None:
+        listener.listen(door.BACKLOG)
+        self.listener = listener
+        self.stop_listening = add_accept_handler(listener, self.accepted)
+
+    def close_door(self) -> None:
+        """Take in all that waits to be accepted, then close: what is left in the queue would be reset."""
+        if self.listener is None or self.stop_listening is None:
+            return
+        self.stop_listening()
+        try:
+            while True:
+                self.accepted(*self.listener.accept())
+        except OSError:
+            pass
+        self.listener.close()
+        self.listener = self.stop_listening = None
+
+    def accepted(self, connection: socket.socket, address: object) -> None:
+        limits = self.limits
+        connection.setblocking(False)
+        stream = IOStream(
+            connection, max_buffer_size=2 * limits.client_frame, read_chunk_size=limits.client_chunk
+        )
+        task = asyncio.ensure_future(self.serve(stream))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def serve(self, stream: IOStream) -> None:
+        if len(self.sessions) >= self.shares.clients and not self.make_room():
             self.counters.add("turned_away_connections")
             return stream.close()
         self.counters.add("client_connections")
@@ -248,6 +329,11 @@
         finally:
             self.sessions.discard(session)
 
+    def shed(self) -> None:
+        """Close what is quiet just now."""
+        for session in list(self.sessions):
+            session.close_if_quiet()
+
     def make_room(self) -> bool:
         """Close the connection that has been idle for longest; clients send again what crosses the close.
 
--- /dev/null
+++ b/paddlequay/net/console.py
@@ -0,0 +1,127 @@
+"""The operators' second address: one HTTP call to a connection, answered within a second."""
+
+import asyncio
+import logging
+import socket
+from collections import OrderedDict
+
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.netutil import add_accept_handler
+
+from paddlequay import log
+from paddlequay.config import Limits
+from paddlequay.counters import Counters
+from paddlequay.net.clients import Front
+from paddlequay.net.twin import Twin
+from paddlequay.operation import Operation
+from paddlequay.protocol import console as wire
+
+LOGGER = logging.getLogger(__name__)
+
+Answer = tuple[int, str]
+
+
+class Console:
+    """Asks the owners of what is asked for, gives them operators' orders, and says why."""
+
+    def __init__(
+        self, operation: Operation, front: Front, twin: Twin, limits: Limits, counters: Counters
+    ) -> None:
+        self.operation, self.front, self.twin = operation, front, twin
+        self.limits, self.counters = limits, counters
+        self.half: OrderedDict[IOStream, None] = OrderedDict()  # no whole call yet, the oldest first
+        self.open = 0
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    def listen(self, listener: socket.socket) -> None:
+        listener.listen(64)
+        add_accept_handler(listener, self.accepted)
+
+    def accepted(self, connection: socket.socket, address: object) -> None:
+        stream = IOStream(connection, max_buffer_size=2 * self.limits.console_head)
+        if self.open >= self.limits.console_connections:
+            # Who holds a connection without a whole call makes room for who has just come.
+            if not self.half:
+                self.counters.add("console_turned_away")
+                return stream.close()
+            self.counters.add("console_half_calls")
+            self.half.popitem(last=False)[0].close()
+        self.open += 1
+        self.half[stream] = None
+        task = asyncio.ensure_future(self.serve(stream))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def serve(self, stream: IOStream) -> None:
+        try:
+            async with asyncio.timeout(self.limits.console_longest):
+                await self.call(stream)
+        except TimeoutError:
+            self.counters.add("console_half_calls")
+        except (StreamClosedError, OSError):
+            pass
+        except Exception:
+            self.counters.add("console_errors")
+            LOGGER.exception("console_failed")
+        finally:
+            self.open -= 1
+            self.half.pop(stream, None)
+            stream.close()
+
+    async def call(self, stream: IOStream) -> None:
+        reader = wire.Reader(self.limits.console_head, self.limits.console_body)
+        call, allow = None, ""
+        try:
+            async with asyncio.timeout(self.limits.console_half):
+                while call is None:
+                    call = reader.feed(await stream.read_bytes(self.limits.console_head, partial=True))
+            self.half.pop(stream, None)
+            status, why, allow = await self.answer(call)
+        except TimeoutError:
+            self.counters.add("console_half_calls")
+            status, why = 408, f"no whole call within {self.limits.console_half:g} s"
+        except wire.MalformedError as error:
+            status, why = 400, str(error)
+        self.half.pop(stream, None)
+        self.counters.add(f"console.{status}")
+        head_only = call is not None and call.method == "HEAD"
+        await stream.write(wire.answer(status, why, allow, head_only))
+        # What the caller still sends would make the close a reset, which can overtake the answer.
+        stream.socket.shutdown(socket.SHUT_WR)
+        async with asyncio.timeout(self.limits.console_linger):
+            for _ in range(16):
+                await stream.read_bytes(self.limits.read_chunk, partial=True)
+
+    async def answer(self, call: wire.Call) -> tuple[int, str, str]:
+        """The status, why, and the methods that are allowed where this one is not."""
+        match call.path:
+            case ("-", "ready"):
+                allow = "GET, HEAD"
+            case ("-", "drain" | "resume") | ("-", "caches", _, "disable" | "enable"):
+                allow = "POST"
+            case _:
+                return 404, "no such call", ""
+        if call.method not in allow.split(", "):
+            return 405, f"expected {allow}", allow
+        match call.path:
+            case ("-", "ready"):
+                status, why = self.ready()
+            case ("-", word):
+                status, why = await self.drain(word == "drain")
+            case ("-", "caches", cache, word):
+                status, why = await self.out(cache, word == "disable")
+        if call.method == "POST":
+            log.event(LOGGER, logging.INFO, "call", path="/".join(call.path), status=status, why=why)
+        return status, why, ""
+
+    def ready(self) -> Answer:
+        why = self.front.closed_for()
+        return (503, why) if why else (200, "ready")
+
+    async def drain(self, on: bool) -> Answer:
+        """Empty the router, or put it back to work."""
+        return 404, "no such call"
+
+    async def out(self, cache: str, on: bool) -> Answer:
+        """Leave a cache out, or put it back."""
+        return 404, "no such call"
--- /dev/null
+++ b/paddlequay/net/door.py
@@ -0,0 +1,52 @@
+"""The clients' listening socket, and how it passes from one process to the next without a loss.
+
+Old and new process both listen on the address (SO_REUSEPORT), and the kernel deals connections out among
+them. What it deals to a listener that then closes is reset, even if that one accepts until its queue is
+empty. So the newer process has all new connections steered to itself from the moment it listens.
+"""
+
+import ctypes
+import logging
+import socket
+import struct
+
+from paddlequay import log
+from paddlequay.config import Address
+
+LOGGER = logging.getLogger(__name__)
+
+BACKLOG = 1024
+RETURN = struct.Struct("HBBI")  # one instruction of a classic socket filter: code, two jumps, constant
+PROGRAM = struct.Struct("HP")  # how many instructions, and where
+SO_ATTACH_REUSEPORT_CBPF = getattr(socket, "SO_ATTACH_REUSEPORT_CBPF", 51)
+NEWER = 1  # the place among two listeners of the one that came later
+
+
+def bound(address: Address) -> socket.socket:
+    """A socket that holds the address, beside another process that may hold it, and does not listen yet."""
+    host, port = address
+    family, *_, where = socket.getaddrinfo(host, port, type=socket.SOCK_STREAM, flags=socket.AI_PASSIVE)[0]
+    held = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        held.setblocking(False)
+        held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        held.bind(where)
+    except OSError:
+        held.close()
+        raise
+    return held
+
+
+def steer(listener: socket.socket) -> None:
+    """Have the newer of two listeners take all new connections.
+
+    The filter belongs to both together. Where it names a place that is not taken, as once the older listener
+    has closed, the kernel deals out as without it.
+    """
+    code = ctypes.create_string_buffer(RETURN.pack(0x06, 0, 0, NEWER))
+    program = PROGRAM.pack(1, ctypes.addressof(code))
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, SO_ATTACH_REUSEPORT_CBPF, program)
+    except OSError as error:
+        log.event(LOGGER, logging.WARNING, "not_steered", why=str(error))
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -1,6 +1,7 @@
 """The platform round one real router process: bulletin, caches and client, on ephemeral loopback ports."""
 
 import contextlib
+import http.client
 import json
 import os
 import queue
@@ -151,16 +152,52 @@
         with tempfile.NamedTemporaryFile("w", suffix=".json", delete=False) as file:
             json.dump(config, file)
         self.config = file.name
-        environment = os.environ | {"ROUTER_CONFIG": file.name}
+        self.folder = tempfile.TemporaryDirectory()
+        self.log: list[str] = []
+        self.processes: list[subprocess.Popen[str]] = []
+        self.process = self.start()
+
+    def start(self) -> "subprocess.Popen[str]":
+        """One more process of the router, with a console of its own; it is `process` from now on."""
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            self.console = ("127.0.0.1", free.getsockname()[1])
+        told = {"ROUTER_CONFIG": self.config, "TMPDIR": self.folder.name}
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "paddlequay"], cwd=ROOT, env=environment, stderr=subprocess.PIPE, text=True
+            [sys.executable, "-m", "paddlequay"],
+            cwd=ROOT,
+            env=os.environ | told | {"ROUTER_CONSOLE": "{}:{}".format(*self.console)},
+            stderr=subprocess.PIPE,
+            text=True,
         )
-        self.log: list[str] = []
-        threading.Thread(target=self.read_log, daemon=True).start()
+        self.processes.append(self.process)
+        threading.Thread(target=self.read_log, args=(self.process,), daemon=True).start()
+        return self.process
+
+    def read_log(self, process: "subprocess.Popen[str]") -> None:
+        assert process.stderr is not None
+        self.log.extend(iter(process.stderr.readline, ""))
+
+    def call(
+        self, path: str, method: str = "POST", console: tuple[str, int] | None = None
+    ) -> tuple[int, str]:
+        """A call to a console, and its answer's status and text."""
+        host, port = console or self.console
+
+        def connect() -> http.client.HTTPConnection | None:
+            made = http.client.HTTPConnection(host, port, timeout=WAIT)
+            with contextlib.suppress(ConnectionRefusedError):
+                made.connect()
+                return made
+            return None
+
+        connection = until(connect, "the console listens")
+        with contextlib.closing(connection):
+            connection.request(method, path)
+            answer = connection.getresponse()
+            return answer.status, answer.read().decode()
 
-    def read_log(self) -> None:
-        assert self.process.stderr is not None
-        self.log.extend(iter(self.process.stderr.readline, ""))
+    def ready(self) -> None:
+        until(lambda: self.call("/-/ready", "GET")[0] == 200, "the router is ready")
 
     @staticmethod
     def entry(name: str, party: Party, kind: str = "box", zone: str = "here", **also: Any) -> dict[str, Any]:
@@ -214,12 +251,14 @@
         return self.process.wait(timeout=2 * WAIT)
 
     def close(self) -> None:
-        if self.process.poll() is None:
-            self.process.kill()
-        self.process.wait(timeout=WAIT)
+        for process in self.processes:
+            if process.poll() is None:
+                process.kill()
+            process.wait(timeout=WAIT)
         for party in (self.bulletin, self.box, self.parent, self.origin):
             party.listener.close()
         os.unlink(self.config)
+        self.folder.cleanup()
 
 
 @contextlib.contextmanager
--- /dev/null
+++ b/tests/test_operation.py
@@ -0,0 +1,189 @@
+"""The operators' part of the real program: the console, and one process that replaces another."""
+
+import contextlib
+import signal
+import socket
+import threading
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+from harness import WAIT, Client, Platform, platform, until
+
+from paddlequay.protocol.console import Call, MalformedError, Reader
+
+
+@pytest.fixture
+def p() -> Iterator[Platform]:
+    with platform() as made:
+        yield made
+
+
+CALL = b"POST http://a/-/caches/s%2D1/disable?x=1 HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc"
+
+
+@pytest.mark.parametrize("size", [1, 2, 7, len(CALL)])
+def test_a_call_in_pieces_of_any_size_is_whole_with_its_last_byte(size: int) -> None:
+    reader = Reader(1000, 1000)
+    pieces = [CALL[at : at + size] for at in range(0, len(CALL), size)]
+    found = [reader.feed(piece) for piece in pieces]
+    assert found == [None] * (len(pieces) - 1) + [Call("POST", ("-", "caches", "s-1", "disable"))]
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"GET /-/ready\r\n\r\n",
+        b"FETCH /-/ready HTTP/1.1\r\n\r\n",
+        b"GET /-/ready HTTP/3\r\n\r\n",
+        b"GET ready HTTP/1.1\r\n\r\n",
+        b"GET /-/ready HTTP/1.1\r\nnonsense\r\n\r\n",
+        b"GET /\xff HTTP/1.1\r\n\r\n",
+        b"POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
+        b"POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
+        b"POST / HTTP/1.1\r\nContent-Length: 1001\r\n\r\n",
+        b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n",
+        b"GET /" + b"a" * 1000,
+    ],
+)
+def test_what_is_no_call_is_said_to_be_none(head: bytes) -> None:
+    with pytest.raises(MalformedError):
+        Reader(1000, 1000).feed(head)
+
+
+def raw(p: Platform, data: bytes) -> bytes:
+    """All that the console answers to some bytes, until it closes."""
+    with socket.create_connection(p.console, timeout=WAIT) as connection:
+        connection.sendall(data)
+        return connection.makefile("rb").read()
+
+
+def test_the_console_says_why_and_closes(p: Platform) -> None:
+    p.ready()
+    assert p.call("/-/ready", "GET") == (200, "ready\n")
+    assert p.call("/-/nothing", "GET")[0] == 404 and p.call("/-/ready")[0] == 405
+    assert raw(p, b"nonsense\r\n\r\n").startswith(b"HTTP/1.1 400 ")
+    head, _, body = raw(p, b"POST /-/ready HTTP/1.1\r\n\r\n").partition(b"\r\n\r\n")
+    lines = head.decode().split("\r\n")
+    assert {"Connection: close", f"Content-Length: {len(body)}", "Allow: GET, HEAD"} <= set(lines) and body
+
+
+def test_half_calls_in_any_number_hold_up_no_whole_one(p: Platform) -> None:
+    p.ready()
+    with contextlib.ExitStack() as held:
+        for _ in range(60):  # far more than the console's own share of descriptors
+            half = held.enter_context(socket.create_connection(p.console, timeout=WAIT))
+            half.sendall(b"GET /-/ready HTT")
+        assert p.call("/-/ready", "GET")[0] == 200
+        until(lambda: p.counted("console_half_calls") >= 44, "the oldest make room")
+        assert len(list(Path(f"/proc/{p.process.pid}/fd").iterdir())) < 60
+
+
+def test_a_newer_process_takes_over_and_the_older_one_loses_nothing(p: Platform) -> None:
+    busy, idle = p.client(), p.client()
+    p.publish({"no": 1})
+    busy.ask("charge")
+    origin, words = p.origin.line()
+    idle.ask(call="00000000000000aa", row="00000000000000aa")
+    p.box.answer("HIT", "-", b"x")
+    assert idle.answer()[3][0] == b"x"
+    older, console = p.process, p.console
+    p.start()
+    assert p.call("/-/ready", "GET")[0] == 503  # the bulletin's word is not there yet
+    assert p.call("/-/ready", "GET", console)[0] == 200
+    p.publish({"no": 1})
+    p.ready()
+    p.logged("event=newer_process_ready")
+    for number in range(100, 140):  # all go to the newer one: the older one is about to close its listener
+        client = p.client()
+        client.ask("nosuch", call=f"{number:016x}")
+        assert client.answer()[2][0] == "Aborted"
+        client.socket.close()
+    assert p.counted("client_connections") == 40
+    older.terminate()
+    assert idle.answer() is None  # closed at a quiet moment, while the older process still runs
+    assert older.poll() is None
+    busy.ask(call="00000000000000bb", row="00000000000000bb")  # never quiet: work goes on
+    p.box.answer("HIT", "-", b"y")
+    assert busy.answer()[3][0] == b"y"
+    origin.sendall(f"{words[1]} HIT - 1\r\nz\r\n".encode())
+    assert busy.answer()[3][0] == b"z" and busy.answer() is None
+    assert older.wait(timeout=WAIT) == 0
+
+
+def test_no_request_is_lost_at_the_door_while_processes_change(p: Platform) -> None:
+    p.ready()
+    lost: list[str] = []
+    end = threading.Event()
+
+    def ask() -> None:
+        number = threading.get_ident() % 1000 * 1000
+        while not end.is_set():
+            number += 1
+            try:
+                client = Client(p.address)
+                client.ask("nosuch", call=f"{number:016x}")
+                if client.answer()[2] is None:
+                    lost.append("served")
+                client.socket.close()
+            except (OSError, TypeError) as error:
+                lost.append(repr(error))
+
+    threads = [threading.Thread(target=ask) for _ in range(3)]
+    for thread in threads:
+        thread.start()
+    for _ in range(2):
+        older = p.process
+        p.start()
+        p.ready()
+        older.terminate()
+        assert older.wait(timeout=WAIT) == 0
+    end.set()
+    for thread in threads:
+        thread.join()
+    assert not lost and p.counted("unknown_class") > 0
+
+
+def test_where_the_older_process_dies_the_newer_one_serves_at_once(p: Platform) -> None:
+    p.ready()
+    older = p.process
+    p.start()
+    p.logged("event=newer_process")
+    older.send_signal(signal.SIGKILL)
+    p.logged("event=older_process_ended")
+    p.ready()
+    assert p.call("/-/ready", "GET")[0] == 200
+
+
+def test_where_the_newer_process_dies_the_older_one_serves_on_and_is_replaced_later(p: Platform) -> None:
+    p.ready()
+    older, console = p.process, p.console
+    newer = p.start()
+    p.logged("event=newer_process")
+    newer.kill()
+    p.logged("event=newer_process_ended")
+    assert p.call("/-/ready", "GET", console)[0] == 200
+    p.process = older
+    client = p.client()
+    client.ask()
+    p.box.answer("HIT", "-", b"x")
+    assert client.answer()[3][0] == b"x"
+    p.start()
+    p.ready()
+    older.terminate()
+    assert older.wait(timeout=WAIT) == 0
+
+
+def test_both_processes_together_stay_within_one_limit_of_descriptors(p: Platform) -> None:
+    """60 descriptors are granted, of which the program keeps a part for itself."""
+    clients = [p.client() for _ in range(19)]  # all that one process takes
+    for number, client in enumerate(clients):
+        client.ask("nosuch", call=f"{number + 1:016x}")
+        assert client.answer()[2][0] == "Aborted"
+    older = p.process
+    p.start()
+    p.ready()
+    for _ in range(30):
+        clients.append(p.client())
+    held = [len(list(Path(f"/proc/{each.pid}/fd").iterdir())) for each in (older, p.process)]
+    assert sum(held) <= 60
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -394,7 +394,10 @@
     assert "answered.refused=1" in p.logged("why=exit")
 
 
-@pytest.mark.parametrize("fault", ["none", "missing", "json", "settings", "listen", "seed", "known"])
+FAULTS = ["none", "missing", "json", "settings", "listen", "seed", "known", "console"]
+
+
+@pytest.mark.parametrize("fault", FAULTS)
 def test_a_bad_configuration_is_one_plain_line_and_exit_2(fault: str, tmp_path: Any) -> None:
     settings = {
         "locality": "here",
@@ -404,6 +407,7 @@
     known = '{"no":1,"items":[{"no":1,"roster":{}}]}' if fault == "known" else "null"
     text = good % (str(settings).replace("'", '"') if fault != "settings" else "{}", known)
     changes = {"json": ("{", "["), "listen": ("127.0.0.1:0", "nowhere"), "seed": ('"1"', '"xyz"')}
+    changes["console"] = ('{"listen"', '{"console":"nowhere","listen"')
     path = tmp_path / "config.json"
     path.write_text(text.replace(*changes[fault], 1) if fault in changes else text)
     name = {"none": "", "missing": "/nonexistent/config.json"}.get(fault, str(path))
