--- a/paddlequay/__main__.py
+++ b/paddlequay/__main__.py
@@ -56,9 +56,16 @@
         self.limits = config.limits
         self.counters = Counters()
         self.operation = Operation(config.file("json"))
+        try:
+            self.operation.load()
+        except (OSError, ValueError) as error:
+            log.event(LOGGER, logging.WARNING, "bans_unreadable", path=self.operation.path, why=str(error))
         self.shares = Shares(self.limits)
         router = Router(config.settings, config.seed)
-        self.exchange = Exchange(router, self.shares, self.limits, LoopScheduler(loop), self.counters)
+        scheduler = LoopScheduler(loop)
+        self.exchange = Exchange(
+            router, self.operation, self.shares, self.limits, scheduler, self.counters
+        )
         self.pool = Pool(self.exchange, self.shares, self.limits, self.counters)
         self.follower = Follower(config.bulletin, self.exchange, self.pool, self.limits, self.counters)
         self.load = OwnLoad(self.limits, config.seed)
@@ -159,10 +166,6 @@
 
     async def run(self) -> None:
         """Serve until SIGTERM, then end in order."""
-        try:
-            self.operation.load()
-        except (OSError, ValueError) as error:
-            log.event(LOGGER, logging.WARNING, "bans_unreadable", path=self.operation.path, why=str(error))
         work = (self.follower.follow(), self.sweeping(), self.beating())
         tasks = [self.background(each) for each in work]
         limits = self.limits
--- a/paddlequay/exchange.py
+++ b/paddlequay/exchange.py
@@ -9,7 +9,7 @@
 import math
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 from typing import Protocol
 
@@ -40,6 +40,7 @@
     TimerDue,
 )
 from paddlequay.logic import Router
+from paddlequay.operation import OUT, Operation
 from paddlequay.shares import Shares
 
 LOGGER = logging.getLogger(__name__)
@@ -176,9 +177,17 @@
     """Open requests, timers, events in, actions out."""
 
     def __init__(
-        self, router: Router, shares: Shares, limits: Limits, scheduler: Scheduler, counters: Counters
+        self,
+        router: Router,
+        operation: Operation,
+        shares: Shares,
+        limits: Limits,
+        scheduler: Scheduler,
+        counters: Counters,
     ) -> None:
         self.router = router
+        self.operation = operation
+        operation.changed.append(self.ordered)
         self.shares = shares
         self.limits = limits
         self.scheduler = scheduler
@@ -258,6 +267,7 @@
 
     def list_changed(self, members: tuple[Member, ...], full: bool) -> None:
         """The list, or changes to it; holds for all that is not written yet."""
+        self.operation.saw(member.name for member in members)
         if full:
             self.members.clear()
         for member in members:
@@ -265,7 +275,19 @@
                 self.members.pop(member.name, None)  # its name never comes again: kept, the table only grows
             else:
                 self.members[member.name] = member
-        self.deliver(MembersChanged(members, full))
+        self.deliver(MembersChanged(tuple(map(self.as_ordered, members)), full))
+
+    def as_ordered(self, member: Member) -> Member:
+        """A member as the decisions see it: what operators leave out drains, whatever the list says."""
+        if member.state is not State.GONE and self.operation.banned(member.name):
+            return replace(member, state=State.DRAINING)
+        return member
+
+    def ordered(self, name: str) -> None:
+        """Operators leave a cache out, or put it back: holds for all that is not written yet."""
+        member = self.members.get(name.removeprefix(OUT)) if name.startswith(OUT) else None
+        if member is not None:
+            self.deliver(MembersChanged((self.as_ordered(member),)))
 
     def purged(self, key: int | None, group: int | None, issued: float) -> None:
         """An object or a group was purged at `issued`, in Unix seconds."""
@@ -312,7 +334,7 @@
 
     def usable(self, name: str) -> bool:
         member = self.members.get(name)
-        return member is not None and member.state in (None, State.READY)
+        return member is not None and self.as_ordered(member).state in (None, State.READY)
 
     def max_age(self, ask: Ask, decided: float | None) -> float | None:
         """The age limit that was decided, made narrower by purges that came since."""
--- a/paddlequay/logic.py
+++ b/paddlequay/logic.py
@@ -265,7 +265,11 @@
             known = self.servers.get(entry.name)
             if entry.state is State.GONE:
                 self.drop(entry.name)
-            elif known is None or (entry.started or 0) > (known.entry.started or 0):
+            elif known is None or (entry.started or 0) > (known.entry.started or 0) or (
+                entry.state in (None, State.READY) and not known.ready
+            ):
+                # Back from a drain it is as new: it has been restarted or is about to be used as if it were,
+                # and old failures would keep it skipped, old limits and copies unused or hoped for.
                 self.drop(entry.name)
                 tier = self.tiers.get(entry.kind, Tier.EDGE)
                 self.servers[entry.name] = Server(
--- a/paddlequay/net/caches.py
+++ b/paddlequay/net/caches.py
@@ -13,6 +13,7 @@
 from paddlequay.counters import Counters
 from paddlequay.exchange import Attempt, End, Exchange, Order
 from paddlequay.interface import Note, Outcome, State
+from paddlequay.operation import OUT
 from paddlequay.protocol import caches as wire
 from paddlequay.protocol.bulletin import Listed
 from paddlequay.shares import Shares
@@ -332,6 +333,7 @@
         self.leaving: list[Instance] = []
         self.tasks: set[asyncio.Task[None]] = set()
         exchange.caches = self
+        exchange.operation.changed.append(self.ordered)
 
     def now(self) -> float:
         return self.exchange.scheduler.monotonic()
@@ -369,6 +371,13 @@
             if at_once or connection.idle:
                 connection.stream.close()
 
+    def ordered(self, name: str) -> None:
+        """Operators leave a cache out, or put it back: what is idle to it may lead nowhere any more."""
+        instance = self.instances.get(name.removeprefix(OUT)) if name.startswith(OUT) else None
+        for connection in instance.connections[:] if instance is not None else ():
+            if connection.idle or connection.silent:
+                connection.stream.close()
+
     def held(self) -> list[Connection]:
         return [c for each in [*self.instances.values(), *self.leaving] for c in each.connections]
 
--- a/paddlequay/net/console.py
+++ b/paddlequay/net/console.py
@@ -13,7 +13,7 @@
 from paddlequay.counters import Counters
 from paddlequay.net.clients import Front
 from paddlequay.net.twin import Twin
-from paddlequay.operation import DRAIN, Operation
+from paddlequay.operation import DRAIN, OUT, Operation, TooManyError
 from paddlequay.protocol import console as wire
 
 LOGGER = logging.getLogger(__name__)
@@ -128,5 +128,18 @@
         return 200, f"draining: {self.front.left}" if on else "taking clients"
 
     async def out(self, cache: str, on: bool) -> Answer:
-        """Leave a cache out, or put it back."""
-        return 404, "no such call"
+        """Leave a cache out, or put it back: yes once the other process obeys and once it is saved."""
+        if not self.operation.knows(cache):
+            return 404, "no cache of that id was ever listed"
+        try:
+            mark = self.operation.order(OUT + cache, on)
+        except TooManyError as error:
+            return 409, str(error)
+        confirmed = await self.twin.confirm(OUT + cache, mark)
+        try:
+            self.operation.save()
+        except OSError as error:
+            return 503, f"obeyed, but not saved for the next process: {error.strerror}; call again"
+        if not confirmed:
+            return 503, "obeyed here, but the other process has not confirmed it; call again"
+        return 200, f"{'out' if on else 'back'}; left out now: {', '.join(self.operation.out) or 'none'}"
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -63,6 +63,11 @@
     raise AssertionError(f"not within {WAIT} s: {what}")
 
 
+def told(words: Words) -> dict[str, str]:
+    """The fields of a request to a cache."""
+    return dict(pair.split("=") for pair in words[2].split(","))
+
+
 class Party:
     """Something that listens; each accepted connection and each line read from one are put into queues."""
 
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -1,5 +1,7 @@
 """The module driven by scripted events: what it decides on the ordinary path and where that path fails."""
 
+from dataclasses import replace
+
 import pytest
 
 from paddlequay.interface import (
@@ -265,6 +267,25 @@
     assert later.source != home.source and later.target != home.target
 
 
+def test_a_member_back_from_a_drain_is_used_at_once_with_no_memory_of_before() -> None:
+    """Put back by operators it was left unused, skipped for failures from before."""
+    driver = Driver()
+    home = driver.fetch(key=7).target
+    (edge,) = [each for each in EDGES if each.name == home]
+    for _ in range(SKIP_FAILURES):
+        driver.end(driver.fetch(key=7), Outcome.UNREACHED)
+        driver.now += 2 * SAME_FAULT_S
+    assert driver.router.servers[home].skipped
+    driver.list(replace(edge, state=State.DRAINING))
+    away = driver.fetch(key=7)
+    driver.serve(away, Note.FILLED)
+    assert away.target != home
+    driver.list(edge)
+    again = driver.fetch(key=7)
+    assert again.target == home and again.source == away.target  # filled from who holds it by now
+    assert all(fetch.source != home for fetch in map(driver.fetch, range(20)))
+
+
 def test_a_draining_origin_is_not_named_when_requests_go_past_the_edges() -> None:
     driver = Driver((*PARENTS, Member(ORIGIN.name, "hub", "origin", 0, State.DRAINING)))
     fetch = driver.fetch()
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -1,6 +1,7 @@
 """The operators' part of the real program: the console, and one process that replaces another."""
 
 import contextlib
+import json
 import signal
 import socket
 import threading
@@ -9,7 +10,7 @@
 from pathlib import Path
 
 import pytest
-from harness import WAIT, Client, Platform, platform, until
+from harness import WAIT, Client, Party, Platform, platform, told, until
 
 from paddlequay.protocol.console import Call, MalformedError, Reader
 from paddlequay.protocol.msgpack import pack
@@ -256,3 +257,100 @@
     assert not ready(client)
     p.logged("event=newer_process_ready")
     assert not ready(p.client()) and p.call("/-/ready", "GET")[0] == 503
+
+
+def with_second_box(p: Platform) -> socket.socket:
+    """Publish a second cache, at the address where the test else has the parent."""
+    bulletin = p.publish(
+        {"no": 2, "roster": {"reset": False, "instances": [p.entry("box-2", p.parent)]}},
+        {"no": 3, "recall": {"lot": 1, "issued": 1}},
+    )
+    until(lambda: p.counted("purges") == 1, "the second cache is listed")
+    return bulletin
+
+
+def share(p: Platform, client: Client, start: int) -> int:
+    """How many of 24 objects are asked for at the first cache; the other one serves the rest."""
+    count = 0
+    for number in range(start, start + 24):
+        client.ask(call=f"{number:016x}", row=f"{number:016x}")
+        asked = until(lambda: not p.box.lines.empty() or not p.parent.lines.empty(), "a cache is asked")
+        party = p.parent if p.box.lines.empty() else p.box
+        assert asked and "via=box-1" not in party.answer("HIT", "detail=HIT", b"x")[2]
+        assert client.answer()[3][0] == b"x"
+        count += party is p.box
+    return count
+
+
+def test_a_cache_out_by_hand_gets_nothing_whatever_the_list_says_until_it_is_put_back(p: Platform) -> None:
+    client = p.client()
+    bulletin = with_second_box(p)
+    assert 0 < share(p, client, 100) < 24
+    assert p.call("/-/caches/nosuch/disable")[0] == 404 and p.call("/-/caches/nosuch/enable")[0] == 404
+    assert p.call("/-/caches/box-1/enable") == (200, "back; left out now: none\n")
+    assert p.call("/-/caches/box-1/disable") == (200, "out; left out now: box-1\n")
+    assert p.call("/-/caches/box-1/disable")[0] == 200
+    assert share(p, client, 200) == 0
+    moved = Party()  # a new instance, at a new address, in a whole list
+    later = p.entry("box-1", moved, startedAtMs=int(time.time() * 1000) - 60_000)
+    whole = [later, p.entry("box-2", p.parent), *p.roster[1:]]
+    for event in (
+        {"no": 4, "roster": {"reset": True, "instances": whole}},
+        {"no": 5, "recall": {"lot": 1, "issued": 1}},
+    ):
+        bulletin.sendall(json.dumps(event).encode() + b"\n")
+    until(lambda: p.counted("purges") == 2, "the whole list is in")
+    assert share(p, client, 300) == 0 and moved.accepted.empty()
+    assert p.call("/-/caches/box-1/enable")[0] == 200
+    p.box = moved
+    assert share(p, client, 400) > 0
+
+
+def test_bans_outlive_the_process_and_hold_for_both_while_one_replaces_the_other(p: Platform) -> None:
+    client = p.client()
+    with_second_box(p)
+    assert p.call("/-/caches/box-1/disable")[0] == 200
+    older, console = p.process, p.console
+    p.start()
+    p.logged("event=newer_process")
+    # Told to either, both obey: the older one serves this client still.
+    assert p.call("/-/caches/box-1/enable")[0] == 200
+    assert share(p, client, 500) > 0
+    calls = (("box-1", console), ("parent-1", p.console))
+    paths = [(f"/-/caches/{cache}/disable", "POST", at) for cache, at in calls]
+    both = [threading.Thread(target=p.call, args=args) for args in paths]
+    for thread in both:
+        thread.start()
+    for thread in both:
+        thread.join()
+    assert share(p, client, 600) == 0
+    p.ready()
+    older.kill()
+    p.process.kill()
+    p.start()
+    p.ready()
+    assert p.call("/-/caches/box-2/enable")[0] == 404  # not in this one's list: it was published later
+    assert p.call("/-/caches/parent-1/disable") == (200, "out; left out now: box-1, parent-1\n")
+    late = p.client()
+    late.ask(call="00000000000000aa")
+    assert "via" not in told(p.origin.answer("HIT", "-", b"x")) and late.answer()[3][0] == b"x"
+
+
+def test_bans_that_cannot_be_read_are_one_line_in_the_log_and_an_empty_start(p: Platform) -> None:
+    p.ready()
+    assert p.call("/-/caches/box-1/disable")[0] == 200
+    (saved,) = Path(p.folder.name).glob("*.json")
+    saved.write_text("{")
+    p.process.kill()
+    p.process.wait(timeout=WAIT)
+    p.start()
+    p.ready()
+    assert sum("event=bans_unreadable" in line for line in p.log) == 1
+    assert p.call("/-/caches/box-1/enable")[1] == "back; left out now: none\n"
+
+
+def test_a_ban_that_cannot_be_saved_is_no_yes(p: Platform) -> None:
+    p.ready()
+    p.folder.cleanup()
+    status, why = p.call("/-/caches/box-1/disable")
+    assert status == 503 and "not saved" in why
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -13,7 +13,7 @@
 from typing import Any
 
 import pytest
-from harness import ROOT, WAIT, Party, Platform, platform, until
+from harness import ROOT, WAIT, Party, Platform, platform, told, until
 
 from paddlequay.protocol.msgpack import pack
 
@@ -24,10 +24,6 @@
         yield made
 
 
-def told(words: list[str]) -> dict[str, str]:
-    return dict(pair.split("=") for pair in words[2].split(","))
-
-
 def test_a_request_is_passed_on_unchanged_and_its_bytes_come_back_whole(p: Platform) -> None:
     client = p.client()
     client.ask(call="9b1f03aa5c7e2d41", row="7f3a9c21e0b4d655", slice="3", seen="4be0c1927d55a6f3")
