--- a/paddlequay/config.py
+++ b/paddlequay/config.py
@@ -34,7 +34,8 @@
     client_unsent: int = 12 * 1024 * 1024
     all_unsent: int = 48 * 1024 * 1024
     client_stall: float = 10.0
-    client_silent: float = 1.5  # to the first whole message, and from a message's first byte to its last
+    client_silent: float = 2.5  # without a byte, before the first one or inside a message: slow ones move
+    moving: float = 0.5  # who has gone on with a message this lately is not closed for who comes
     client_idle: float = 6.0  # clients themselves close after 4 s
     client_body: int = 48_000
     client_turned: int = 32  # refusals or errors in a row, after which a connection is read
@@ -157,7 +158,7 @@
         all_cache_connections=max(4, int(sockets) - clients - OWN_DESCRIPTORS),
         cores=positive(data, "limits.cores", 1.0),
         all_unsent=int(memory / 4),
-        client_unsent=int(memory / 16),
+        client_unsent=int(memory / 8),
         held_bodies=int(memory / 8),
         open_requests=int(positive(wire, "limits.maxOpen", 20000)),
         connect_timeout=positive(wire, "limits.dialTimeout", 0.4),
--- a/paddlequay/net/clients.py
+++ b/paddlequay/net/clients.py
@@ -4,6 +4,7 @@
 import logging
 import re
 import socket
+from collections import OrderedDict
 from collections.abc import Callable, Mapping
 from typing import Any
 
@@ -88,6 +89,11 @@
 class Session:
     """One client connection and the requests that are open on it."""
 
+    __slots__ = (
+        *("began", "front", "half", "moved", "open", "pieces", "reader", "reading", "spoken", "stream"),
+        *("turned", "unsent", "used", "waits"),
+    )
+
     def __init__(self, front: "Front", stream: IOStream) -> None:
         self.front, self.stream = front, stream
         self.reader = wire.Reader(front.limits.client_frame)
@@ -95,7 +101,10 @@
         self.unsent = 0
         self.moved = self.used = self.began = front.now()
         self.spoken = False  # whether a whole message has come
-        self.half: float | None = None  # since when a message has been coming that is not whole
+        self.half: float | None = None  # when the last byte came of a message that is not whole
+        self.pieces = 0  # in which that message has come so far
+        self.waits = front.mute  # among whom it waits, for as long as nothing is owed
+        self.waits[self] = None
         self.turned = 0  # refusals and errors since the last other answer
         self.reading = False  # nothing that came is still to be looked at
 
@@ -107,14 +116,15 @@
                 data = await self.stream.read_bytes(self.front.limits.client_chunk, partial=True)
                 self.reading = False
                 self.used = self.front.now()
-                whole = False
                 for message in self.reader.feed(data):
-                    whole = self.spoken = True
+                    self.spoken = True
                     self.take(message)
-                if not self.reader.rest:
-                    self.half = None
-                elif whole or self.half is None:
-                    self.half = self.used
+                self.half = self.used if self.reader.rest else None
+                self.pieces = self.pieces + 1 if self.reader.rest else 0
+                self.place()
+                while self.unsent > self.front.limits.client_unsent / 2:
+                    # Who takes its answers slowly gets no further ones made; closed on, it would lose all.
+                    await asyncio.sleep(self.front.limits.client_pause)
                 # A read of what is there already does not yield: one client at full speed would keep the loop
                 # to itself. One that is only turned away is read more slowly, which costs nobody else.
                 reads += 1
@@ -137,6 +147,16 @@
                     self.front.exchange.withdraw(item)
             self.open.clear()
 
+    def place(self) -> None:
+        """Move to the end of those it waits among, or out of them while something is owed."""
+        self.waits.pop(self, None)
+        if not self.open and not self.unsent and not self.stream.closed():
+            if self.pieces:
+                self.waits = self.front.moving if self.pieces > 1 else self.front.begun
+            else:
+                self.waits = self.front.idle
+            self.waits[self] = None
+
     def take(self, message: wire.Message) -> None:
         match message:
             case wire.Alive():
@@ -207,9 +227,16 @@
         self.used = self.front.now()
         if not self.unsent:
             self.moved = self.used
-        if self.unsent + size > limits.client_unsent or self.front.unsent + size > self.front.most_unsent:
+        if self.unsent + size > limits.client_unsent:
             self.front.counters.add("slow_readers")
             return self.stream.close()
+        if self.front.unsent + size > self.front.most_unsent:
+            # Whoever takes least of what is held for it, not whoever is answered next.
+            self.front.counters.add("slow_readers")
+            slowest = max(self.front.sessions, key=lambda session: session.unsent)
+            slowest.stream.close()
+            if slowest is self:
+                return
         self.unsent += size
         self.front.unsent += size
         if size <= JOINED_MOST:
@@ -228,6 +255,8 @@
         self.unsent -= size
         self.front.unsent -= size
         self.moved = self.front.now()
+        if not self.unsent:
+            self.place()
         if self.front.shedding:
             self.close_if_quiet()
 
@@ -268,6 +297,12 @@
         operation.changed.append(self.ordered)
         self.exchange, self.shares, self.limits, self.counters = exchange, shares, limits, counters
         self.sessions: set[Session] = set()
+        # Who waits with nothing owed, the longest first: before the first byte, with one piece of a message,
+        # with several, and after a whole one.
+        self.mute: OrderedDict[Session, None] = OrderedDict()
+        self.begun: OrderedDict[Session, None] = OrderedDict()
+        self.moving: OrderedDict[Session, None] = OrderedDict()
+        self.idle: OrderedDict[Session, None] = OrderedDict()
         self.tasks: set[asyncio.Task[None]] = set()
         self.load = load
         self.too_busy = Reply(Verdict.REFUSED, retry_in=limits.shed_pushback)
@@ -373,30 +408,43 @@
             await session.run()
         finally:
             self.sessions.discard(session)
+            session.waits.pop(session, None)
 
     def make_room(self) -> bool:
-        """Close the connection that has been idle for longest; clients send again what crosses the close.
+        """Close one connection on which nothing is owed, with no search among them all.
 
-        Those that have never sent a whole message go first: hundreds that connect and say nothing would else
-        push out the usual clients, which were there before them.
+        First who has sent no byte, then who has stopped inside a message: thousands that connect and say
+        nothing would else push out who asks. Then the one idle for longest: its client sends again what
+        crosses the close. Who goes on with a message makes room only where there is nobody else.
         """
-        idle = [session for session in self.sessions if not session.open and not session.unsent]
-        if not idle:
-            return False
-        longest = min(idle, key=lambda session: (session.spoken, session.used))
-        longest.stream.close()
-        self.sessions.discard(longest)
-        self.counters.add("closed_idle_clients")
-        return True
+        limits, now = self.limits, self.now()
+        order = (
+            (self.mute, 0.0),
+            (self.begun, 0.0),
+            (self.moving, limits.moving),
+            (self.idle, 0.0),
+            (self.moving, 0.0),
+        )
+        for waiting, least in order:
+            longest = next(iter(waiting), None)
+            if longest is not None and now - longest.used >= least:
+                del waiting[longest]
+                longest.stream.close()
+                self.sessions.discard(longest)
+                self.counters.add("closed_idle_clients" if waiting is self.idle else "closed_silent_clients")
+                return True
+        return False
 
     def sweep(self) -> None:
         """Close the connections whose client has long taken nothing, sent nothing whole or asked nothing."""
         now, limits = self.now(), self.limits
         for session in list(self.sessions):
-            since = session.half if session.spoken else session.began
+            since = session.half
+            if since is None and not session.spoken:
+                since = session.began
             if session.unsent and now - session.moved > limits.client_stall:
                 self.counters.add("slow_readers")
-            elif since is not None and now - since > limits.client_silent:
+            elif since is not None and not session.open and now - since > limits.client_silent:
                 self.counters.add("silent_clients")
             elif not session.open and not session.unsent and now - session.used > limits.client_idle:
                 self.counters.add("closed_idle_clients")
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -306,6 +306,46 @@
         assert time.monotonic() - began < 3.0
 
 
+def test_a_request_that_comes_in_slow_pieces_is_served_whoever_connects_meanwhile(p: Platform) -> None:
+    """It was closed 1.5 s after its first byte, however it moved, or made room for who said nothing."""
+    client = p.client()
+    fields = {"call": f"{9:016x}", "ttl": "2000", "row": f"{9:016x}", "slice": "0", "set": "17"}
+    message = pack([0, 1, "video", [fields, b""]])
+    silent = []
+    for at in range(0, len(message), 9):
+        client.socket.sendall(message[at : at + 9])
+        for number in range(4):
+            silent.append(p.client())
+            if number % 2:
+                silent[-1].socket.sendall(b"\x94\x00")
+        time.sleep(0.3)  # the client's own pace
+    assert len(message) > 9 * 8 and len(silent) > 32  # over 2.4 s; of 60 descriptors, clients hold 19
+    p.box.answer("HIT", "-", b"x")
+    assert client.answer()[3][0] == b"x"
+
+
+def test_a_client_that_reads_slowly_gets_all_its_answers() -> None:
+    """With no more than a bound on unsent bytes it was closed on, and lost all that it had open."""
+    with platform(limits={"sockets": 60, "memory_mb": 8}) as p:
+        client = p.client()
+        body = bytes(200_000)
+
+        def ask() -> None:
+            for number in range(1, 41):  # 8 MB, of which 1 MB may wait unsent
+                client.ask(call=f"{number:016x}", row=f"{number:016x}")
+
+        threading.Thread(target=ask, daemon=True).start()
+        for _ in range(8):
+            p.box.answer("HIT", "-", body)  # while the client takes nothing
+        until(lambda: p.counted("answer_bytes") > 1_500_000, "answers wait")
+        served = 0
+        while served < 8:
+            answer = client.answer()  # among refusals of what was too much for one cache
+            assert answer is not None
+            served += answer[2] is None and answer[3][0] == body
+        assert p.counted("slow_readers") == 0
+
+
 def test_a_client_that_sends_without_end_does_not_hold_up_another(p: Platform) -> None:
     """A read of bytes that are there already does not yield: the loop belonged to whoever sent fastest."""
     usual, flood = p.client(), p.client()
