--- a/paddlequay/__main__.py
+++ b/paddlequay/__main__.py
@@ -73,6 +73,7 @@
             self.exchange, self.operation, self.shares, self.limits, self.counters, self.load
         )
         self.twin = Twin(config.file("sock"), self.operation, self.shares, self.limits, self.counters)
+        self.twin.knowledge, self.twin.on_knowledge = router.knowledge, self.exchange.inherit
         self.twin.on_newer, self.twin.on_replaced = self.make_way, self.give_way
         self.console = Console(self.operation, self.front, self.twin, self.limits, self.counters)
         try:
--- a/paddlequay/exchange.py
+++ b/paddlequay/exchange.py
@@ -25,6 +25,7 @@
     Event,
     Fail,
     Fetch,
+    Inherited,
     Log,
     Member,
     MembersChanged,
@@ -263,6 +264,10 @@
             self.counters.add("surrendered")
             self.deliver(Surrender(serial))
 
+    def inherit(self, knowledge: dict[str, float]) -> None:
+        """What an older process of this router has learned."""
+        self.deliver(Inherited(knowledge))
+
     # --- from discovery ---
 
     def list_changed(self, members: tuple[Member, ...], full: bool) -> None:
--- a/paddlequay/interface.py
+++ b/paddlequay/interface.py
@@ -4,6 +4,7 @@
 what to do without a value is for `paddlequay.logic` to decide.
 """
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import Enum
 
@@ -183,6 +184,13 @@
     request: str
 
 
+@dataclass(frozen=True, slots=True)
+class Inherited:
+    """What an older process of the same router had learned, as `Router.knowledge` gave it."""
+
+    knowledge: Mapping[str, float]
+
+
 @dataclass(frozen=True, slots=True)
 class Purged:
     """An object, or without `key` a whole group, was purged `age` seconds ago."""
@@ -199,7 +207,17 @@
     token: str
 
 
-Event = MembersChanged | Request | Started | AttemptEnded | ClientGone | Surrender | Purged | TimerDue
+Event = (
+    MembersChanged
+    | Request
+    | Started
+    | AttemptEnded
+    | ClientGone
+    | Surrender
+    | Inherited
+    | Purged
+    | TimerDue
+)
 
 
 @dataclass(frozen=True, slots=True)
--- a/paddlequay/logic.py
+++ b/paddlequay/logic.py
@@ -21,6 +21,7 @@
     Event,
     Fail,
     Fetch,
+    Inherited,
     Log,
     Member,
     MembersChanged,
@@ -245,6 +246,8 @@
                 self.close(event.request)
             case Surrender() if event.request in self.open:
                 self.give_up(self.open[event.request])
+            case Inherited():
+                self.on_inherited(event)
             case Purged():
                 self.on_purged(event)
             case TimerDue(token="subscribe"):
@@ -301,6 +304,31 @@
         if name in self.servers:
             self.rescue(self.servers.pop(name))
 
+    # --- one process after another ---
+
+    def knowledge(self) -> dict[str, float]:
+        """What a process that replaces this one could only learn anew while it turns requests away."""
+        told = {"edge_rate": self.edge_rate, "fill_rate": self.fill_rate}
+        for kind in self.kinds:
+            told[f"work {kind}"], told[f"slow {kind}"] = self.work[kind], self.slowness[kind]
+        for name, server in self.servers.items():
+            told[f"limit {name}"], told[f"cut {name}"] = server.limit, float(server.cut_at > -math.inf)
+        return told
+
+    def on_inherited(self, event: Inherited) -> None:
+        """Start from an older process's limits, work and rates; health and copies show within a request."""
+        told = event.knowledge
+        self.edge_rate = told.get("edge_rate", self.edge_rate)
+        self.fill_rate = told.get("fill_rate", self.fill_rate)
+        for kind in self.kinds:
+            self.work[kind] = told.get(f"work {kind}", self.work[kind])
+            self.slowness[kind] = told.get(f"slow {kind}", self.slowness[kind])
+        self.mean_work = sum(self.work.values()) / len(self.work)
+        for name, server in self.servers.items():
+            server.limit = min(LIMIT_MOST, max(LIMIT_LEAST, told.get(f"limit {name}", server.limit)))
+            if told.get(f"cut {name}"):
+                server.cut_at = self.now - LIMIT_PAUSE_S
+
     # --- requests ---
 
     def on_request(self, request: Request) -> None:
--- a/paddlequay/net/twin.py
+++ b/paddlequay/net/twin.py
@@ -57,7 +57,8 @@
     async def run(self) -> None:
         """Read until the end."""
         operation = self.twin.operation
-        self.send(wire.State(operation.marks, tuple(operation.listed)))
+        learned = self.twin.knowledge() if self is self.twin.newer else {}
+        self.send(wire.State(operation.marks, tuple(operation.listed), learned))
         try:
             while True:
                 data = await self.stream.read_bytes(self.twin.limits.read_chunk, partial=True)
@@ -80,6 +81,8 @@
             case wire.State():
                 operation.saw(message.listed)
                 operation.take_all(message.marks)
+                if self is self.twin.older:
+                    self.twin.on_knowledge(message.knowledge)
                 self.known.set()
             case wire.Order():
                 operation.take(message.name, message.mark)
@@ -115,6 +118,8 @@
         self.held: Held | None = None
         self.tasks: set[asyncio.Task[None]] = set()
         self.closed = False
+        self.knowledge: Callable[[], dict[str, float]] = dict
+        self.on_knowledge: Callable[[dict[str, float]], None] = lambda learned: None
         self.on_newer: Callable[[], None] = lambda: None
         self.on_replaced: Callable[[], None] = lambda: None
         self.stop_listening: Callable[[], None] | None = None
--- a/paddlequay/protocol/twin.py
+++ b/paddlequay/protocol/twin.py
@@ -1,6 +1,7 @@
 """Between the two processes of one router while one replaces the other: lines of JSON. Knows no socket."""
 
 import json
+import math
 from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import Any
@@ -15,10 +16,11 @@
 
 @dataclass(frozen=True, slots=True)
 class State:
-    """All orders and listed ids that the sender knows: the first message, both ways."""
+    """Orders and listed ids that the sender knows, and what it has learned: the first message, both ways."""
 
     marks: dict[str, Mark]
     listed: tuple[str, ...]
+    knowledge: dict[str, float]
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,7 +51,7 @@
     match message:
         case State():
             marks = {name: [mark.at, mark.on] for name, mark in message.marks.items()}
-            data: dict[str, Any] = {"state": marks, "listed": message.listed}
+            data: dict[str, Any] = {"state": marks, "listed": message.listed, "knowledge": message.knowledge}
         case Order():
             mark = message.mark
             data = {"order": {message.name: [mark.at, mark.on]}, "number": message.number}
@@ -65,8 +67,11 @@
 def unpack(line: bytes) -> Message:
     try:
         match json.loads(line):
-            case {"state": dict(marks), "listed": [*listed]}:
-                return State(read_marks(marks), tuple(map(str, listed)))
+            case {"state": dict(marks), "listed": [*listed], "knowledge": dict(knowledge)}:
+                learned = {str(name): float(value) for name, value in knowledge.items()}
+                if not all(map(math.isfinite, learned.values())) or min(learned.values(), default=0) < 0:
+                    raise MalformedError("knowledge that cannot be used")
+                return State(read_marks(marks), tuple(map(str, listed)), learned)
             case {"order": dict(order), "number": int(number)} if len(order) == 1:
                 ((name, mark),) = read_marks(order).items()
                 return Order(number, name, mark)
@@ -76,7 +81,7 @@
                 return Ready()
             case {"clients": int(clients), "caches": int(caches)}:
                 return Held(clients, caches)
-    except ValueError as error:
+    except (TypeError, ValueError) as error:
         raise MalformedError(str(error)) from None
     raise MalformedError(f"no message: {line[:80]!r}")
 
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -12,6 +12,7 @@
     Effect,
     Fail,
     Fetch,
+    Inherited,
     Member,
     MembersChanged,
     Note,
@@ -286,6 +287,33 @@
     assert all(fetch.source != home for fetch in map(driver.fetch, range(20)))
 
 
+def test_a_process_that_takes_over_goes_on_with_the_limits_that_were_found() -> None:
+    """upgrade+hand: from the first limits again, a third of what one cache alone could take was refused."""
+    members = (*EDGES[:1], *PARENTS, ORIGIN)
+    older, newer = Driver(members), Driver(members)
+
+    def report(fetch: Fetch) -> None:
+        load = (("cpu", 0.3), ("x1", 0.2))
+        older.router.handle(
+            AttemptEnded(fetch.request, 0, fetch.target, Outcome.SERVED, 0.05, True, Note.HIT, None, load),
+            older.now,
+        )
+
+    def sent(driver: Driver) -> list[Fetch]:
+        return [fetch for key in range(60) for fetch in fetches(driver.ask(key))]
+
+    report(older.fetch())
+    out = sent(older)  # while a cache reports room, nothing is refused
+    assert len(out) == 60
+    for fetch in out:
+        report(fetch)
+    newer.now = older.now = older.now + 5.0
+    first = len(sent(Driver(members)))
+    newer.router.handle(Inherited(older.router.knowledge()), newer.now)
+    assert len(sent(newer)) > 2 * first > 0
+    assert newer.router.edge_rate == older.router.edge_rate > 0.0
+
+
 def test_a_draining_origin_is_not_named_when_requests_go_past_the_edges() -> None:
     driver = Driver((*PARENTS, Member(ORIGIN.name, "hub", "origin", 0, State.DRAINING)))
     fetch = driver.fetch()
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -12,8 +12,11 @@
 import pytest
 from harness import WAIT, Client, Party, Platform, platform, told, until
 
+from paddlequay.operation import Mark
+from paddlequay.protocol import twin
 from paddlequay.protocol.console import Call, MalformedError, Reader
 from paddlequay.protocol.msgpack import pack
+from paddlequay.shares import Held
 
 
 @pytest.fixture
@@ -54,6 +57,35 @@
         Reader(1000, 1000).feed(head)
 
 
+STATE = twin.State({"out:a": Mark(5, True)}, ("a", "b"), {"limit a": 12.5})
+ORDER = twin.Order(3, "drain", Mark(9, False))
+MESSAGES: list[twin.Message] = [STATE, ORDER, twin.Confirmed(3), twin.Ready(), Held(4, 5)]
+
+
+@pytest.mark.parametrize("size", [1, 5, 1000])
+def test_messages_between_two_processes_come_whole_in_pieces_of_any_size(size: int) -> None:
+    data, reader = b"".join(map(twin.pack, MESSAGES)), twin.Reader(1000)
+    pieces = [data[at : at + size] for at in range(0, len(data), size)]
+    assert [message for piece in pieces for message in reader.feed(piece)] == MESSAGES
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"{",
+        b"3",
+        b'{"state":{"x":[1,true]},"listed":[],"knowledge":{}}',
+        b'{"state":{},"listed":[],"knowledge":{"limit a":null}}',
+        b'{"state":{},"listed":[],"knowledge":{"limit a":-1}}',
+        b'{"state":{},"listed":[],"knowledge":{"limit a":NaN}}',
+        b'{"order":{"drain":[1]},"number":1}',
+    ],
+)
+def test_a_line_that_is_no_message_is_said_to_be_none(line: bytes) -> None:
+    with pytest.raises(twin.MalformedError):
+        twin.unpack(line)
+
+
 def raw(p: Platform, data: bytes) -> bytes:
     """All that the console answers to some bytes, until it closes."""
     with socket.create_connection(p.console, timeout=WAIT) as connection:
