--- a/paddlequay/config.py
+++ b/paddlequay/config.py
@@ -84,7 +84,7 @@
     drain_surrender: float = 3.0  # what is open then is given up,
     drain_close: float = 3.3  # and what is not closed by then is closed: at 4 s none may be left
     drain_longest: float = 3.5  # then all that is open is given up
-    drain_refuse: float = 2.0  # connections that are never quiet get nothing new done from here on
+    drain_refuse: float = 2.6  # connections that are never quiet get nothing new done from here on
     flush_longest: float = 0.5
     late_comer: float = 0.5  # who has connected this lately and asked nothing yet is about to
     # One process replaces another.
--- a/paddlequay/logic.py
+++ b/paddlequay/logic.py
@@ -312,11 +312,14 @@
         for kind in self.kinds:
             told[f"work {kind}"], told[f"slow {kind}"] = self.work[kind], self.slowness[kind]
         for name, server in self.servers.items():
-            told[f"limit {name}"], told[f"cut {name}"] = server.limit, float(server.cut_at > -math.inf)
+            told[f"limit {name}"] = server.limit
         return told
 
     def on_inherited(self, event: Inherited) -> None:
-        """Start from an older process's limits, work and rates; health and copies show within a request."""
+        """Start from an older process's limits, work and rates; health and copies show within a request.
+
+        A limit that was cut below the first one is not taken over: it regains slowly, a start finds anew.
+        """
         told = event.knowledge
         self.edge_rate = told.get("edge_rate", self.edge_rate)
         self.fill_rate = told.get("fill_rate", self.fill_rate)
@@ -325,9 +328,7 @@
             self.slowness[kind] = told.get(f"slow {kind}", self.slowness[kind])
         self.mean_work = sum(self.work.values()) / len(self.work)
         for name, server in self.servers.items():
-            server.limit = min(LIMIT_MOST, max(LIMIT_LEAST, told.get(f"limit {name}", server.limit)))
-            if told.get(f"cut {name}"):
-                server.cut_at = self.now - LIMIT_PAUSE_S
+            server.limit = min(LIMIT_MOST, max(server.limit, told.get(f"limit {name}", 0.0)))
 
     # --- requests ---
 
