A late answer that hardly waited for its fill is held against the edge, not the source

The answer's lag tells how long it waited for the source; under a quarter of the latency it is the edge's lateness.

--- a/paddlequay/logic.py
+++ b/paddlequay/logic.py
@@ -70,6 +70,7 @@
 LIMIT_ROOM = 1.25  # what was out while a member reported room, and this much more, it can hold
 LATE_MEMORY_S = 1.0  # by time, not by answers: a router that sends once a second must see a jam as well
 LATE_SHARE = 0.15  # of answers past the aim: less is the tail of sizes, not a jam
+WAITED_SHARE = 0.25  # of a filled answer's latency, waited for the source: then its lateness is the source's
 UNTOLD_SLACK = 1.2  # sizes untold: a large object's later aim is not seen, and it is no sign of a jam
 COST_MOST = 8.0  # of the mean request: past it a transfer is too rare to be told apart by its size
 WORK_STEP = 0.01  # mean work moves over some hundred requests, so a burst of large ones does not move it
@@ -667,7 +668,10 @@
                 self.succeed(self.origins[0])
             if event.note is Note.HIT and attempt.fills and source.tokens_at is not None:
                 source.tokens += self.work[item.kind.name]
-            self.learn(item, attempt, event.latency, filled)
+            # A late answer that did not wait for its fill says nothing of who filled it: one edge that bore
+            # all of its location was late, and the parents' limits were cut for it.
+            by_source = filled and (event.waited is None or event.waited > WAITED_SHARE * event.latency)
+            self.learn(item, attempt.source if by_source else attempt.target, event.latency)
             return
         if event.outcome in (Outcome.CANCELLED, Outcome.NOT_SENT):
             item.failed.append(target.entry.name)
@@ -734,7 +738,7 @@
                 self.rescue(server)
             server.trial_at = self.now + TRIAL_DELAY_S
 
-    def learn(self, item: Open, attempt: Attempt, latency: float, filled: bool) -> None:
+    def learn(self, item: Open, by: Server, latency: float) -> None:
         """Latency against the aim: time-outs follow it, and lateness lowers the limits of who was used."""
         kind = item.kind.name
         ratio = latency / self.aim(item)
@@ -747,7 +751,7 @@
                 self.work[kind] = min(self.work[kind], (total + latency) / (count + 1))
                 del self.calm[kind]
         late = ratio > (1.0 if item.request.size_kb else UNTOLD_SLACK)
-        self.pace(attempt.source if filled else attempt.target, late)
+        self.pace(by, late)
 
     def report(self, server: Server, load: dict[str, float]) -> None:
         """A member's own word on its load: where it has room, no belief of ours may say that it is full."""
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -476,6 +476,26 @@
     assert driver.router.servers[name].limit > lowered
 
 
+@pytest.mark.parametrize(("waited", "at_fault"), [(1.5, "source"), (None, "source"), (0.1, "target")])
+def test_a_late_filled_answer_is_held_against_the_source_only_if_it_waited_for_it(
+    waited: float | None, at_fault: str
+) -> None:
+    """upgrade+hand: one edge bore its whole location and was late, and parents' limits were cut for it."""
+    driver = Driver()
+    servers = driver.router.servers
+    first = driver.fetch()
+    before = {name: servers[name].limit for name in (first.target, first.source)}
+    for _ in range(10):
+        fetch = driver.fetch()
+        driver.now += 0.6
+        driver.router.handle(
+            AttemptEnded(fetch.request, 0, fetch.target, Outcome.SERVED, 2.0, True, Note.FILLED, waited),
+            driver.now,
+        )
+    cut = {name for name, limit in before.items() if servers[name].limit < limit}
+    assert cut == {first.source if at_fault == "source" else first.target}
+
+
 def test_no_candidate_at_all_is_refused_at_once_with_a_time_to_come_back() -> None:
     (action,) = Driver(members=()).ask()
     assert isinstance(action, Refuse) and 0 < (action.retry_in or 0) <= 2.0
