--- a/paddlequay/config.py
+++ b/paddlequay/config.py
@@ -65,6 +65,8 @@
     cache_unheard: int = 4  # requests written on a connection and nothing heard on it,
     instance_unheard: int = 6  # or on all to an instance and nothing heard on any,
     cache_silence: float = 0.5  # the first of them this long ago: dead
+    cache_slow: float = 3.0  # and this many times what its answers take now: a jam is no silence
+    cache_answers: float = 0.1  # how much the latest answer counts in that
     cache_idle: float = 24.0
     cache_ids: int = 512  # remembered by a connection, so that none comes twice on it
     cache_line: int = 4096
--- a/paddlequay/net/caches.py
+++ b/paddlequay/net/caches.py
@@ -200,6 +200,8 @@
             if end.unchanged and attempt.owner.ask.known is None:
                 raise wire.MalformedError("VALID to a request that named no copy")
             del self.out[answer.id]
+            if attempt.written is not None:
+                self.instance.answer_took(self.used - attempt.written)
             self.pool.counters.add("received_bytes", len(answer.body))
             self.pool.exchange.end(attempt, end)
         else:
@@ -234,11 +236,11 @@
         Most answers come within tens of milliseconds, so that many do not all wait for fills. Left to their
         time-outs, they were blamed on the sources of their fills, whose limits were cut for it.
         """
-        limits = self.pool.limits
-        if now - self.heard <= limits.cache_silence:
+        patience = self.instance.patience
+        if now - self.heard <= patience:
             return False
         since = self.unheard(self.heard)
-        return len(since) >= limits.cache_unheard and now - min(since) > limits.cache_silence
+        return len(since) >= self.limits.cache_unheard and now - min(since) > patience
 
     @property
     def idle(self) -> bool:
@@ -255,6 +257,16 @@
         self.address: Address = listed.address
         self.connections: list[Connection] = []
         self.gone = False
+        self.took = 0.0  # an answer, lately
+
+    def answer_took(self, time: float) -> None:
+        self.took += self.pool.limits.cache_answers * (time - self.took)
+
+    @property
+    def patience(self) -> float:
+        """How long nothing may come under several requests. Where answers are slow for all, silence for as
+        long as is usual elsewhere ended connections that were jammed, and what was out came once more."""
+        return max(self.pool.limits.cache_silence, self.pool.limits.cache_slow * self.took)
 
     def start(self, attempt: Attempt) -> None:
         connection = self.choose(attempt)
@@ -301,12 +313,12 @@
     def watch(self, now: float) -> None:
         """Close what has fallen silent under requests, and what stopped inside an answer: whatever comes next
         on that one would be read as its rest."""
-        limits = self.pool.limits
+        limits, patience = self.pool.limits, self.patience
         heard = max((connection.heard for connection in self.connections), default=now)
         all_silent = False
-        if now - heard > limits.cache_silence:
+        if now - heard > patience:
             since = [at for connection in self.connections for at in connection.unheard(heard)]
-            all_silent = len(since) >= limits.instance_unheard and now - min(since) > limits.cache_silence
+            all_silent = len(since) >= limits.instance_unheard and now - min(since) > patience
         for connection in self.connections[:]:
             if connection.reader.begun and now - connection.heard > self.pool.limits.cache_stall:
                 self.pool.counters.add("stalled_answers")
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -306,6 +306,22 @@
         assert time.monotonic() - began < 3.0
 
 
+def test_a_cache_whose_answers_are_slow_is_not_taken_for_a_silent_one(p: Platform) -> None:
+    """upgrade+hand: in a jam connections were ended as silent, and what was out on them was sent again."""
+    client = p.client()
+    first = 1
+    for pause in (0.5, 0.5, 0.5, 0.84):  # the cache's own pace; from 0.72 s on it passed for silent
+        for number in range(first, first + 5):
+            client.ask(call=f"{number:016x}", row=f"{number:016x}")
+        first += 5
+        asked = [p.box.line() for _ in range(5)]
+        time.sleep(pause)
+        for connection, words in asked:
+            connection.sendall(f"{words[1]} HIT - 1\r\nx\r\n".encode())
+        assert [client.answer()[3][0] for _ in asked] == [b"x"] * 5
+    assert p.counted("silent_connections") == 0
+
+
 def test_a_request_that_comes_in_slow_pieces_is_served_whoever_connects_meanwhile(p: Platform) -> None:
     """It was closed 1.5 s after its first byte, however it moved, or made room for who said nothing."""
     client = p.client()
