Take few connections in one turn of the loop, and fewer steps for each request

Seen: in a burst the descriptors of both processes went to 66 of 60 (a test that failed once under load): up to 128 connections were accepted before the first was counted (Front.accepted). Now 16 a turn, counted at once.

--- a/paddlequay/config.py
+++ b/paddlequay/config.py
@@ -47,6 +47,7 @@
     held_bodies: int = 24 * 1024 * 1024
     answer_margin: float = 0.025  # of the time to live: the way from and to the client
     busy_pushback: float = 0.2  # told where the router itself, not the decisions, turns a request away
+    accepts: int = 16  # connections taken in one turn of the loop
     client_chunk: int = 4096  # some 25 requests: what waits behind them, purges above all, has its turn
     beat: float = 0.05  # how often the program looks at its own load
     busy_share: float = 0.96  # of the core: past it, new requests are turned away, more at each beat
--- a/paddlequay/exchange.py
+++ b/paddlequay/exchange.py
@@ -339,7 +339,7 @@
 
     def usable(self, name: str) -> bool:
         member = self.members.get(name)
-        return member is not None and self.as_ordered(member).state in (None, State.READY)
+        return member is not None and member.state in (None, State.READY) and not self.operation.banned(name)
 
     def max_age(self, ask: Ask, decided: float | None) -> float | None:
         """The age limit that was decided, made narrower by purges that came since."""
--- a/paddlequay/net/clients.py
+++ b/paddlequay/net/clients.py
@@ -9,7 +9,6 @@
 from typing import Any
 
 from tornado.iostream import IOStream, StreamClosedError
-from tornado.netutil import add_accept_handler
 
 from paddlequay import log
 from paddlequay.config import Limits
@@ -103,7 +102,7 @@
         self.spoken = False  # whether a whole message has come
         self.half: float | None = None  # when the last byte came of a message that is not whole
         self.pieces = 0  # in which that message has come so far
-        self.waits = front.mute  # among whom it waits, for as long as nothing is owed
+        self.waits: OrderedDict[Session, None] | None = front.mute  # among whom, if nothing is owed
         self.waits[self] = None
         self.turned = 0  # refusals and errors since the last other answer
         self.reading = False  # nothing that came is still to be looked at
@@ -149,7 +148,9 @@
 
     def place(self) -> None:
         """Move to the end of those it waits among, or out of them while something is owed."""
-        self.waits.pop(self, None)
+        if self.waits is not None:
+            self.waits.pop(self, None)
+            self.waits = None
         if not self.open and not self.unsent and not self.stream.closed():
             if self.pieces:
                 self.waits = self.front.moving if self.pieces > 1 else self.front.begun
@@ -255,7 +256,7 @@
         self.unsent -= size
         self.front.unsent -= size
         self.moved = self.front.now()
-        if not self.unsent:
+        if not self.unsent and not self.open:
             self.place()
         if self.front.shedding:
             self.close_if_quiet()
@@ -374,7 +375,7 @@
     def listen(self, listener: socket.socket) -> None:
         listener.listen(door.BACKLOG)
         self.listener = listener
-        self.stop_listening = add_accept_handler(listener, self.accepted)
+        self.stop_listening = door.on_connection(listener, self.accepted, self.limits.accepts)
 
     def close_door(self) -> None:
         """Take in all that waits to be accepted, then close: what is left in the queue would be reset."""
@@ -383,35 +384,36 @@
         self.stop_listening()
         try:
             while True:
-                self.accepted(*self.listener.accept())
+                self.accepted(self.listener.accept()[0])
         except OSError:
             pass
         self.listener.close()
         self.listener = self.stop_listening = None
 
-    def accepted(self, connection: socket.socket, address: object) -> None:
+    def accepted(self, connection: socket.socket) -> None:
         limits = self.limits
+        if len(self.sessions) >= self.shares.clients and not self.make_room():
+            self.counters.add("turned_away_connections")
+            return connection.close()
+        self.counters.add("client_connections")
         connection.setblocking(False)
         stream = IOStream(
             connection, max_buffer_size=2 * limits.client_frame, read_chunk_size=limits.client_chunk
         )
-        task = asyncio.ensure_future(self.serve(stream))
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
-
-    async def serve(self, stream: IOStream) -> None:
-        if len(self.sessions) >= self.shares.clients and not self.make_room():
-            self.counters.add("turned_away_connections")
-            return stream.close()
-        self.counters.add("client_connections")
         stream.set_nodelay(True)
         session = Session(self, stream)
         self.sessions.add(session)
+        task = asyncio.ensure_future(self.serve(session))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def serve(self, session: Session) -> None:
         try:
             await session.run()
         finally:
             self.sessions.discard(session)
-            session.waits.pop(session, None)
+            if session.waits is not None:
+                session.waits.pop(session, None)
 
     def make_room(self) -> bool:
         """Close one connection on which nothing is owed, with no search among them all.
--- a/paddlequay/net/door.py
+++ b/paddlequay/net/door.py
@@ -9,6 +9,9 @@
 import logging
 import socket
 import struct
+from collections.abc import Callable
+
+from tornado.ioloop import IOLoop
 
 from paddlequay import log
 from paddlequay.config import Address
@@ -38,6 +41,25 @@
     return held
 
 
+def on_connection(
+    listener: socket.socket, taken: Callable[[socket.socket], None], most: int
+) -> Callable[[], None]:
+    """Accept at most so many in one turn of the loop: all that wait at once would be descriptors beyond the
+    limit, and what the earliest of them sent would be read after the last has come. Gives how to stop."""
+    loop = IOLoop.current()
+
+    def accept(fd: socket.socket, events: int) -> None:
+        for _ in range(most):
+            try:
+                connection = listener.accept()[0]
+            except (BlockingIOError, ConnectionAbortedError):
+                return
+            taken(connection)
+
+    loop.add_handler(listener, accept, IOLoop.READ)
+    return lambda: loop.remove_handler(listener)
+
+
 def steer(listener: socket.socket) -> None:
     """Have the newer of two listeners take all new connections.
 
--- a/paddlequay/operation.py
+++ b/paddlequay/operation.py
@@ -52,6 +52,7 @@
     def __init__(self, path: Path) -> None:
         self.path = path
         self.marks: dict[str, Mark] = {}
+        self.left_out: set[str] = set()  # the caches whose mark is on: looked at before each write
         self.listed: OrderedDict[str, None] = OrderedDict()  # ids that the list has ever named, the latest
         self.changed: list[Callable[[str], None]] = []
 
@@ -60,7 +61,7 @@
         return self.is_on(DRAIN)
 
     def banned(self, cache: str) -> bool:
-        return self.is_on(OUT + cache)
+        return cache in self.left_out
 
     def is_on(self, name: str) -> bool:
         mark = self.marks.get(name)
@@ -69,8 +70,7 @@
     @property
     def out(self) -> list[str]:
         """The caches that are left out."""
-        on = (name for name, mark in self.marks.items() if mark.on)
-        return sorted(name.removeprefix(OUT) for name in on if name != DRAIN)
+        return sorted(self.left_out)
 
     def saw(self, caches: Iterable[str]) -> None:
         """Ids that the list names: from now on they are known, also once they have gone."""
@@ -101,6 +101,8 @@
         if before is not None and before.at >= mark.at:
             return
         self.marks[name] = mark
+        if name.startswith(OUT):
+            (self.left_out.add if mark.on else self.left_out.discard)(name.removeprefix(OUT))
         if mark.on != (before is not None and before.on):
             for tell in self.changed:
                 tell(name)
