A connection counts as mute only once a read of it has found nothing

An answer that the socket takes at once is counted as sent at once: a connection was held to owe bytes for a turn of the loop more, and could not make room.

--- a/paddlequay/net/clients.py
+++ b/paddlequay/net/clients.py
@@ -102,8 +102,7 @@
         self.spoken = False  # whether a whole message has come
         self.half: float | None = None  # when the last byte came of a message that is not whole
         self.pieces = 0  # in which that message has come so far
-        self.waits: OrderedDict[Session, None] | None = front.mute  # among whom, if nothing is owed
-        self.waits[self] = None
+        self.waits: OrderedDict[Session, None] | None = None  # among whom, while nothing is owed
         self.turned = 0  # refusals and errors since the last other answer
         self.reading = False  # nothing that came is still to be looked at
 
@@ -112,7 +111,14 @@
         try:
             while True:
                 self.reading = True
-                data = await self.stream.read_bytes(self.front.limits.client_chunk, partial=True)
+                coming = asyncio.ensure_future(
+                    self.stream.read_bytes(self.front.limits.client_chunk, partial=True)
+                )
+                if not reads and not coming.done():
+                    # Mute only now: who sent with its connect is read first, and is not closed for the next.
+                    self.waits = self.front.mute
+                    self.front.mute[self] = None
+                data = await coming
                 self.reading = False
                 self.used = self.front.now()
                 for message in self.reader.feed(data):
@@ -250,7 +256,10 @@
             self.unsent -= size
             return
         self.front.counters.add("answer_bytes", size)
-        done.add_done_callback(lambda _: self.sent(size))
+        if done.done():  # taken at once, as nearly always
+            self.sent(size)
+        else:
+            done.add_done_callback(lambda _: self.sent(size))
 
     def sent(self, size: int) -> None:
         self.unsent -= size
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -13,7 +13,7 @@
 from typing import Any
 
 import pytest
-from harness import ROOT, WAIT, Party, Platform, platform, told, until
+from harness import ROOT, WAIT, Client, Party, Platform, platform, told, until
 
 from paddlequay.protocol.msgpack import pack
 
@@ -322,6 +322,17 @@
     assert p.counted("silent_connections") == 0
 
 
+def test_who_asks_as_it_connects_is_answered_however_many_connect_at_once(p: Platform) -> None:
+    """crowd+term: counted as mute until its first read, it made room for the next and was closed unread."""
+    p.client()
+    p.process.send_signal(signal.SIGSTOP)  # all of them wait to be accepted
+    clients = [Client(p.address) for _ in range(60)]  # of 60 descriptors, clients hold 19
+    for number, client in enumerate(clients, 1):
+        client.ask("nosuch", call=f"{number:016x}")
+    p.process.send_signal(signal.SIGCONT)
+    assert [client.answer()[2][0] for client in clients] == ["Aborted"] * 60
+
+
 def test_a_request_that_comes_in_slow_pieces_is_served_whoever_connects_meanwhile(p: Platform) -> None:
     """It was closed 1.5 s after its first byte, however it moved, or made room for who said nothing."""
     client = p.client()
