--- a/paddlequay/__main__.py
+++ b/paddlequay/__main__.py
@@ -133,10 +133,14 @@
 
     async def sweeping(self) -> None:
         """What is looked at now and then rather than at an event."""
+        printed = time.monotonic()
         while True:
             await asyncio.sleep(self.limits.sweep)
             self.pool.sweep()
             self.front.sweep()
+            if time.monotonic() - printed >= self.limits.counters_every:
+                printed = time.monotonic()
+                self.counters.print("period")
 
     async def beating(self) -> None:
         while True:
--- a/paddlequay/config.py
+++ b/paddlequay/config.py
@@ -107,6 +107,7 @@
     own_descriptors: int = OWN_DESCRIPTORS
     read_chunk: int = 64 * 1024
     sweep: float = 0.25
+    counters_every: float = 5.0  # a replay's logs tell where requests went without an end by SIGTERM
 
 
 @dataclass(frozen=True, slots=True)
--- a/paddlequay/exchange.py
+++ b/paddlequay/exchange.py
@@ -448,6 +448,8 @@
             case Refuse():
                 if action.request in self.open:
                     item = self.open[action.request]
+                    # Never sent on is priced apart from given up after attempts: the fleet loses by both.
+                    self.counters.add("refused.tried" if item.attempts else "refused.untried")
                     self.finish(item, Reply(Verdict.REFUSED, retry_in=action.retry_in, note=item.note))
             case Fail():
                 if action.request in self.open:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -152,6 +152,25 @@
     assert answer[2][0] == "TryLater" and int(answer[2][1]["pushback"]) > 0
 
 
+def test_refusals_are_counted_apart_by_whether_any_attempt_was_sent(p: Platform) -> None:
+    """calm+mass: 23.6% refused; the counts split 7,314 never sent on from 3,194 given up after attempts."""
+    client = p.client()
+    client.ask(ttl="700")
+    p.box.line()
+    assert client.answer()[2][0] == "TryLater"
+    until(lambda: p.counted("refused.tried") == 1, "the refusal after an attempt is counted")
+    drained = [p.entry(name, party, kind, zone, lifecycle="terminating") for name, party, kind, zone in (
+        ("box-1", p.box, "box", "here"), ("parent-1", p.parent, "parent", "hub"),
+        ("origin-1", p.origin, "origin", "hub"))]
+    p.publish({"no": 2, "roster": {"reset": False, "instances": drained}})
+
+    def refused_untried() -> bool:
+        client.ask()
+        return bool(client.answer()[2][0] == "TryLater" and p.counted("refused.untried") > 0)
+
+    until(refused_untried, "a refusal with no candidate is counted as never sent on")
+
+
 def test_more_answers_than_asked_for_are_passed_over_and_an_id_never_comes_twice(p: Platform) -> None:
     """rude+garble+fleet: a second copy, or an answer under an unknown id, ended all good answers after it."""
     client = p.client()
