--- a/paddlequay/hierarchy/climb.py
+++ b/paddlequay/hierarchy/climb.py
@@ -73,7 +73,7 @@
         name = item.request.id
         number = item.request.fill
         if number is None or (item.attempts and not self.may_repeat(item)):
-            return self.give_up(item)
+            return self.give_up(item, "spent")
         hint = self.hints.pop(name, "")
         while (step := self.node.step(number, hint)) is not None:
             hint = ""
@@ -84,7 +84,7 @@
             if self.busy(server, item):
                 if rung.held:
                     continue
-                return self.give_up(item)
+                return self.give_up(item, "edge_busy")
             return self.ask(item, server, rung)
         self.actions.append(Fail(name))
         self.close(name)
--- a/paddlequay/interface.py
+++ b/paddlequay/interface.py
@@ -252,6 +252,7 @@
 
     request: str
     retry_in: float | None = None
+    cause: str = ""  # for counts only: spent, edge_busy, no_edge, no_source, surrender
 
 
 @dataclass(frozen=True, slots=True)
--- a/paddlequay/logic.py
+++ b/paddlequay/logic.py
@@ -213,6 +213,7 @@
         self.fill_rate = 0.0
         self.actions: list[Action] = []
         self.now = 0.0
+        self.cause = "no_source"  # why the last step found nothing
 
     def handle(self, event: Event, now: float) -> list[Action]:
         """What to do about one event."""
@@ -234,7 +235,7 @@
             case ClientGone():
                 self.close(event.request)
             case Surrender() if event.request in self.open:
-                self.give_up(self.open[event.request])
+                self.give_up(self.open[event.request], "surrender")
             case Inherited():
                 self.on_inherited(event)
             case Purged():
@@ -363,15 +364,16 @@
     def advance(self, item: Open) -> None:
         """Send the next attempt of a request, or give it its final answer at once."""
         if item.attempts and not self.may_repeat(item):
-            return self.give_up(item)
+            return self.give_up(item, "spent")
         # What one lost connection ended is bounded by what was out on it, and no sign of load: it may be sent
         # once more beyond the budget, which a single connection with thirty requests on it used up.
         free = len(item.attempts) == 1 and item.lost
         poor = bool(item.attempts) and self.budget < 1.0 and not free
         item.unfillable = item.unfillable or poor
+        self.cause = "no_source"
         step = self.next_rung(item) if item.cacheable else self.pass_untouched(item)
         if step is None:
-            return self.give_up(item)
+            return self.give_up(item, self.cause)
         target, source = step
         if item.attempts and target is not source and not free:
             self.budget -= 1.0
@@ -418,6 +420,7 @@
         would reach the parents and the origin as client traffic and as second fills, and jam them as well.
         """
         edge, edge_busy = self.pick_edge(item)
+        self.cause = "edge_busy" if edge_busy else "no_edge" if edge is None else "no_source"
         if edge is None and (edge_busy or not self.settings.direct):
             return None
         source = None if item.unfillable else self.pick_source(item, edge)
@@ -791,14 +794,14 @@
 
     # --- final answers ---
 
-    def give_up(self, item: Open) -> None:
+    def give_up(self, item: Open, cause: str) -> None:
         """The final answer at once: a refusal where a repeat is harmless, else a failure."""
         kind = item.kind
         keyed_anywhere = kind.effect is Effect.KEYED and kind.repeat_group == "all"
         if item.may_have_run is None or kind.effect is Effect.SAFE or keyed_anywhere:
             wait = self.random.uniform(*COME_BACK_S)
             most = self.settings.max_retry_after
-            self.actions.append(Refuse(item.request.id, None if most is None else min(most, wait)))
+            self.actions.append(Refuse(item.request.id, None if most is None else min(most, wait), cause))
         else:
             self.actions.append(Fail(item.request.id))
         self.close(item.request.id)
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -429,6 +429,7 @@
     driver = Driver()
     actions = [action for key in range(300) for action in driver.ask(key)]
     assert any(isinstance(action, Refuse) for action in actions)
+    assert {action.cause for action in actions if isinstance(action, Refuse)} == {"edge_busy"}
     sent = fetches(actions)
     assert all(fetch.source != ORIGIN.name and fetch.target.startswith("edge") for fetch in sent)
 
@@ -523,6 +524,7 @@
 def test_no_candidate_at_all_is_refused_at_once_with_a_time_to_come_back() -> None:
     (action,) = Driver(members=()).ask()
     assert isinstance(action, Refuse) and 0 < (action.retry_in or 0) <= 2.0
+    assert action.cause == "no_edge"
 
 
 def test_late_double_and_unknown_events_are_ignored() -> None:
