Serve on at once when the newer process dies, not from the next beat on

Twin.follow_newer clears the link to the dead process at once, but Front.shedding, which has connections closed as they fall quiet, was made anew at the next beat only: who connected in between was served once and closed on. Ruled out: a second answer or a served one (the harness saw no line at the cache), the dead process's listener (the test waits for its end). At fault: Program.beating was the only place that took giving_way back. Change: Twin.on_alone, called as the link ends, takes it back at once (Program.go_on). Measured: with the beat set to 1.5 s and 1.7 s waited before the kill the test fails at the same line without the change and passes with it; at the beat of 50 ms the window was up to 50 ms, longer on a busy machine.

--- a/paddlequay/__main__.py
+++ b/paddlequay/__main__.py
@@ -60,6 +60,7 @@
         self.twin = Twin(config.file("sock"), self.operation, self.shares, self.limits, self.counters)
         self.twin.knowledge, self.twin.on_knowledge = router.knowledge, self.exchange.inherit
         self.twin.on_newer, self.twin.on_replaced = self.make_way, self.give_way
+        self.twin.on_alone = self.go_on
         self.console = Console(self.operation, self.front, self.twin, self.limits, self.counters)
         self.members = self.discovery()
         try:
@@ -131,6 +132,11 @@
         caches = (limits.all_cache_connections - limits.own_descriptors) // 2
         self.twin.give(Held((held + limits.client_connections + 1) // 2, max(4, caches)))
 
+    def go_on(self) -> None:
+        """A newer process has died: at once, for until the next beat who connects here would be closed on."""
+        self.front.giving_way = self.front.closing
+        self.front.empty()
+
     async def sweeping(self) -> None:
         """What is looked at now and then rather than at an event."""
         printed = time.monotonic()
--- a/paddlequay/net/twin.py
+++ b/paddlequay/net/twin.py
@@ -122,6 +122,7 @@
         self.on_knowledge: Callable[[dict[str, float]], None] = lambda learned: None
         self.on_newer: Callable[[], None] = lambda: None
         self.on_replaced: Callable[[], None] = lambda: None
+        self.on_alone: Callable[[], None] = lambda: None
         self.stop_listening: Callable[[], None] | None = None
         self.listener: socket.socket | None = None
 
@@ -202,6 +203,7 @@
         await link.run()
         self.newer = self.held = None
         self.shares.alone()
+        self.on_alone()
         log.event(LOGGER, logging.INFO, "newer_process_ended")
         if not self.closed:  # at its own end it must not take the place of the one that goes on
             self.listen()
