Tell silence by how seldom answers take so long, not by four requests out for a while

Connection.dead took four requests out and nothing heard for max(0.57 to 0.86 s, 3 x took) for death, and Instance.took began at 0 and moved by a tenth an answer, so with one answer a second it was far too small for the first ten. Four videos of 0.4 to 2 s are no silence. All to an instance are judged by the last byte read, not by a connection's start.

--- a/paddlequay/config.py
+++ b/paddlequay/config.py
@@ -65,9 +65,8 @@
     cache_stall: float = 0.2  # without a byte inside an answer, which comes in one piece
     cache_unheard: int = 4  # requests written on a connection and nothing heard on it,
     instance_unheard: int = 6  # or on all to an instance and nothing heard on any,
-    cache_silence: float = 0.5  # the first of them this long ago: dead
-    cache_slow: float = 3.0  # and this many times what its answers take now: a jam is no silence
-    cache_answers: float = 0.1  # how much the latest answer counts in that
+    cache_silence: float = 0.5  # with nothing for this long: looked at for silence; fleet/silence.py decides
+    cache_usual: float = 0.3  # what an answer is taken to need until answers tell
     cache_idle: float = 24.0
     cache_ids: int = 512  # remembered by a connection, so that none comes twice on it
     cache_line: int = 4096
@@ -170,6 +169,7 @@
         cache_idle=0.8 * keepalive,
         # Of the order of the aims: a deployment of larger objects takes longer for each answer.
         cache_silence=1.1 * sum(kind.aim for kind in settings.classes) / len(settings.classes),
+        cache_usual=0.5 * sum(kind.aim for kind in settings.classes) / len(settings.classes),
         attempts=int(positive(wire, "limits.attemptsCap", 6)),
         purge_memory=positive(wire, "extra.clearedWithin", 6.0),
         # It is killed 0.7 s after the longest deadline, which counts as 3 s where it is longer.
--- a/paddlequay/net/caches.py
+++ b/paddlequay/net/caches.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import math
 import socket
 from collections import OrderedDict, deque
 from collections.abc import Iterable, Mapping
@@ -12,6 +13,7 @@
 from paddlequay.config import Address, Limits
 from paddlequay.counters import Counters
 from paddlequay.exchange import Attempt, End, Exchange, Order, Stamp
+from paddlequay.fleet.silence import Pace, Waits
 from paddlequay.interface import Note, Outcome, State
 from paddlequay.operation import OUT
 from paddlequay.protocol import caches as wire
@@ -109,6 +111,7 @@
         self.up = False
         self.silent = False
         self.heard = self.used = pool.now()
+        self.read_at = -math.inf  # the last byte, which an accepted connection is not
 
     def takes(self, attempt: Attempt) -> bool:
         """Room for it, on a connection that answers.
@@ -147,7 +150,8 @@
         try:
             while True:
                 data = await self.stream.read_bytes(self.limits.read_chunk, partial=True)
-                self.heard, self.silent = self.pool.now(), False
+                self.heard = self.read_at = self.pool.now()
+                self.silent = False
                 for answer in self.reader.feed(data):
                     self.answered(answer)
                 reads += 1
@@ -211,7 +215,7 @@
                 raise wire.MalformedError("VALID to a request that named no copy")
             del self.out[answer.id]
             if attempt.written is not None:
-                self.instance.answer_took(self.used - attempt.written)
+                self.instance.answer_took(attempt, self.used - attempt.written)
             self.pool.counters.add("received_bytes", len(answer.body))
             self.pool.exchange.end(attempt, end)
         else:
@@ -229,28 +233,28 @@
             timed_out = self.pool.now() >= attempt.expires
             if timed_out and quiet:
                 self.silent = True
+            elif timed_out and attempt.written is not None:
+                # At least so long: leaving out what was given up would make all waits look short in a jam.
+                self.pool.waits.took(attempt.owner.ask.class_name, self.pool.now() - attempt.written)
             if not self.stream.closed():
                 self.stream.write(wire.quit_(attempt.id))
         elif attempt in self.waiting:
             self.waiting.remove(attempt)
         return quiet
 
-    def unheard(self, heard: float) -> list[float]:
-        """When what is out was written, as far as that was after the byte heard last."""
-        written = (attempt.written for attempt in self.out.values())
-        return [at for at in written if at is not None and at >= heard]
+    def unheard(self, heard: float) -> list[Attempt]:
+        """What is out and was written after the byte heard last."""
+        return [each for each in self.out.values() if each.written is not None and each.written >= heard]
 
     def dead(self, now: float) -> bool:
-        """Whether what is out tells of silence: so many written since the last byte, the first long ago.
+        """Whether what is out tells of silence: several written since the last byte, and long ago.
 
-        Most answers come within tens of milliseconds, so that many do not all wait for fills. Left to their
-        time-outs, they were blamed on the sources of their fills, whose limits were cut for it.
+        Left to their time-outs, they were blamed on the sources of their fills, whose limits were cut for it.
         """
-        patience = self.instance.patience
-        if now - self.heard <= patience:
+        if now - self.heard <= self.limits.cache_silence:
             return False
         since = self.unheard(self.heard)
-        return len(since) >= self.limits.cache_unheard and now - min(since) > patience
+        return len(since) >= self.limits.cache_unheard and self.instance.silence_of(since, now)
 
     @property
     def idle(self) -> bool:
@@ -267,16 +271,19 @@
         self.address: Address = listed.address
         self.connections: list[Connection] = []
         self.gone = False
-        self.took = 0.0  # an answer, lately
+        self.pace = Pace()
 
-    def answer_took(self, time: float) -> None:
-        self.took += self.pool.limits.cache_answers * (time - self.took)
+    def answer_took(self, attempt: Attempt, time: float) -> None:
+        self.pace.took(time)
+        self.pool.pace.took(time)
+        self.pool.waits.took(attempt.owner.ask.class_name, time)
 
-    @property
-    def patience(self) -> float:
-        """How long nothing may come under several requests. Where answers are slow for all, silence for as
-        long as is usual elsewhere ended connections that were jammed, and what was out came once more."""
-        return max(self.pool.limits.cache_silence, self.pool.limits.cache_slow * self.took)
+    def silence_of(self, attempts: list[Attempt], now: float) -> bool:
+        """Whether so long a silence under these is no chance; in a jam of its own a member may be slower."""
+        ages = [(each.owner.ask.class_name, now - (each.written or now)) for each in attempts]
+        if max((age for _, age in ages), default=0.0) <= self.pool.limits.cache_silence:
+            return False
+        return self.pool.waits.silent(ages, self.pace.over(self.pool.pace))
 
     def start(self, attempt: Attempt) -> None:
         connection = self.choose(attempt)
@@ -323,12 +330,12 @@
     def watch(self, now: float) -> None:
         """Close what has fallen silent under requests, and what stopped inside an answer: whatever comes next
         on that one would be read as its rest."""
-        limits, patience = self.pool.limits, self.patience
-        heard = max((connection.heard for connection in self.connections), default=now)
+        limits = self.pool.limits
+        heard = max((connection.read_at for connection in self.connections), default=now)
         all_silent = False
-        if now - heard > patience:
-            since = [at for connection in self.connections for at in connection.unheard(heard)]
-            all_silent = len(since) >= limits.instance_unheard and now - min(since) > patience
+        if now - heard > limits.cache_silence:
+            since = [each for connection in self.connections for each in connection.unheard(heard)]
+            all_silent = len(since) >= limits.instance_unheard and self.silence_of(since, now)
         for connection in self.connections[:]:
             if connection.reader.begun and now - connection.heard > self.pool.limits.cache_stall:
                 self.pool.counters.add("stalled_answers")
@@ -353,6 +360,8 @@
         self.exchange, self.shares, self.limits, self.counters = exchange, shares, limits, counters
         self.instances: dict[str, Instance] = {}
         self.leaving: list[Instance] = []
+        self.waits = Waits(limits.cache_usual, exchange.router.kinds)
+        self.pace = Pace(memory=200.0)
         self.tasks: set[asyncio.Task[None]] = set()
         exchange.caches = self
         exchange.operation.changed.append(self.ordered)
