Let caches' own words decide where many routers meet, and shed fills at a full link

By plaza (32 of them, 1 to 15 routers and 3 to 8 caches each) it was the plazas with many routers: the link in had 20 to 50 times the transfers that fit (x1 50 at edge-23 from 11 s on), while refusals came from lateness at caches, hits included. How it came: 'BUSY q46 s- EDGE late=0.00 out=1.65 cost=1.17 limit=10.00 share=0.714': a share of 10 among 14 routers is 0.7, so one video out made a cache full and the object was filled a second time at the next one, through the link that was short; 26% of requests went elsewhere than home, half of the fills were repeats. Ruled out: 67 routers in a zone as docs/fleet.md assumed (the settings say 1 to 15); the guard on the core. Change: fleet/room.py keeps what caches say (inflight, util, and x1 of the link). From three routers at a cache on, a full home is passed over only with room in the link; with none, the home is asked for what it holds and no fill is drawn (refused as link_full); a home full by this router's requests alone still takes what its word says it bears. The tests of test_room.py fail without fills() and bears().

--- /dev/null
+++ b/paddlequay/fleet/room.py
@@ -0,0 +1,84 @@
+"""How much room a plaza's caches and the link that they share have left, by their own reports.
+
+A router alone at a cache knows its load from what it has out there itself. One of a dozen does not: its share
+of the cache's limit is under one request, and a rule on its own requests turns away by chance, or hands the
+object to the next cache, which fills it a second time through the link that is short already
+(docs/fleet.md, "The second fill"). Every answer carries the cache's own word on its load, which is the sum
+over all routers and the same for all of them: who decides by that alone adds up to one decision.
+
+Two things run out. A cache's way out is divided among its transfers: what counts is how many more there are
+than fit at full pace. The link in is told as that multiple. Both are shed over a span, each request by its
+own luck, so that routers which heard the same word a moment apart do not all stop, and all begin, together.
+"""
+
+import math
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+CROWD = 3.0  # routers at one cache from which on its word counts, and not what one of them has out
+FRESH_S = 2.0  # reports are made every 240 to 990 ms and come late; an older one tells nothing
+BUSY = 0.6  # use of a way out, a mean over the last report: below it what is held waits for fills
+FITS = 6.0  # transfers that fit a way out at full pace, until answers tell
+EDGE_SPAN = (2.0, 4.0)  # times as long as at full pace: aims allow twice the sending time and a constant
+LINK_SPAN = (1.5, 4.0)  # one already uses all of the link; the rest is what waits in it
+
+
+@dataclass(slots=True)
+class Word:
+    """What one cache has said of itself: transfers that fit its way out, those it has now, its use of it."""
+
+    fits: float = FITS
+    active: float = 0.0
+    use: float = 0.0
+    at: float = -math.inf
+
+
+def past(value: float, span: tuple[float, float]) -> float:
+    """How far a value has come through a span: 0 up to its low end, 1 from its high end on."""
+    low, high = span
+    return min(1.0, max(0.0, (value - low) / (high - low)))
+
+
+class Room:
+    """Words of the caches of one plaza; bounded by `forget`, which whoever drops a member calls.
+
+    `routers`: how many meet at each cache. Under `CROWD` nothing here says no: what a router has out tells.
+    """
+
+    def __init__(self, routers: float = CROWD) -> None:
+        self.routers = routers
+        self.words: dict[str, Word] = {}
+        self.link = 0.0
+        self.link_at = -math.inf
+
+    def heard(self, name: str, load: Mapping[str, float], now: float) -> None:
+        """A report came with an answer: `active` requests held, `cpu` use, `x1` the link's load."""
+        if "active" in load and "cpu" in load:
+            word = self.words.setdefault(name, Word())
+            word.active, word.use, word.at = load["active"], load["cpu"], now
+        if "x1" in load:
+            self.link, self.link_at = load["x1"], now
+
+    def forget(self, name: str) -> None:
+        """A member has gone or started anew; unknown names are no error."""
+        self.words.pop(name, None)
+
+    def told(self, name: str, now: float) -> bool:
+        """Whether a cache has given its word lately, and it is what counts."""
+        word = self.words.get(name)
+        return self.routers >= CROWD and word is not None and now - word.at <= FRESH_S
+
+    def slowness(self, name: str, now: float) -> float:
+        """Times as long as at full pace that a transfer takes there; 1 where nothing fresh is known."""
+        if not self.told(name, now) or self.words[name].use < BUSY:
+            return 1.0
+        return max(1.0, self.words[name].active / self.words[name].fits)
+
+    def bears(self, name: str, luck: float, now: float) -> bool:
+        """Whether a cache by its own word bears a request, with that one's `luck` in [0, 1)."""
+        return self.told(name, now) and past(self.slowness(name, now), EDGE_SPAN) <= luck
+
+    def fills(self, luck: float, now: float) -> bool:
+        """Whether a request may draw a fill through the plaza's link; yes while nothing tells."""
+        fresh = self.routers >= CROWD and now - self.link_at <= FRESH_S
+        return not fresh or past(self.link, LINK_SPAN) <= luck
--- a/paddlequay/interface.py
+++ b/paddlequay/interface.py
@@ -247,8 +247,9 @@
     attempt: int
 
 
-# Why the decisions turned a request away: repeats used up, all edges busy, no edge or source open, surrender.
-Cause = Literal["spent", "edge_busy", "no_edge", "no_source", "surrender"]
+# Why the decisions turned a request away: repeats used up, all edges busy, no edge or source open,
+# no room for its fill in the plaza's link, surrender.
+Cause = Literal["spent", "edge_busy", "no_edge", "no_source", "link_full", "surrender"]
 
 
 @dataclass(frozen=True, slots=True)
--- a/paddlequay/logic.py
+++ b/paddlequay/logic.py
@@ -13,6 +13,7 @@
 from enum import Enum
 from itertools import chain, islice
 
+from paddlequay.fleet.room import Room
 from paddlequay.hierarchy.homes import Homes, digest, place
 from paddlequay.interface import (
     Action,
@@ -43,6 +44,7 @@
     Surrender,
     TimerDue,
 )
+from paddlequay.settings import check
 
 # The design's values (starting values given as open).
 HOT_WINDOW_S = 10.0  # reads within this make an object hot; also how long an edge is believed to hold a copy
@@ -177,6 +179,7 @@
     lost: bool = False
     may_have_run: Attempt | None = None
     unfillable: bool = False
+    link_full: bool = False
     streaming: bool = False
 
     @property
@@ -198,6 +201,7 @@
         self.homes: dict[Tier, Homes[Server]] = {Tier.EDGE: Homes(), Tier.PARENT: Homes()}
         self.cold: dict[Tier, list[Server]] = {}
         self.origins: list[Server] = []
+        self.room = Room()
         self.open: dict[str, Open] = {}
         self.seen: OrderedDict[tuple[int | None, int | None], Seen] = OrderedDict()
         self.purges: OrderedDict[tuple[str, int | None], float] = OrderedDict()
@@ -286,7 +290,7 @@
             self.cold[tier] = [server for server in servers if self.share_of(server) < 1.0]
         self.origins = [server for server in ready if server.tier is Tier.ORIGIN]
         fills = FILL_SHARE * max(1, len(everywhere)) / (self.settings.routers or 1)
-        self.sharers[Tier.EDGE] = self.settings.routers_here or 1
+        self.sharers[Tier.EDGE] = self.room.routers = self.settings.routers_here or 1
         self.sharers[Tier.PARENT] = max(1, len(parents)) / fills
         self.sharers[Tier.ORIGIN] = max(1, len(self.origins)) / fills
 
@@ -296,6 +300,7 @@
 
     def drop(self, name: str) -> None:
         """Forget a member that is gone or has started anew: neither its health nor its copies live on."""
+        self.room.forget(name)
         if name in self.servers:
             self.rescue(self.servers.pop(name))
 
@@ -422,6 +427,7 @@
         """
         edge, edge_busy = self.pick_edge(item)
         self.cause = "edge_busy" if edge_busy else "no_edge" if edge is None else "no_source"
+        self.cause = "link_full" if item.link_full else self.cause
         if edge is None and (edge_busy or not self.settings.direct):
             return None
         source = None if item.unfillable else self.pick_source(item, edge)
@@ -445,13 +451,17 @@
         ranked = self.ranked(Tier.EDGE, place(item.request.key, item.request.part))
         fit = (e for e in ranked if self.same_group(item, e) and e.entry.name not in item.failed)
         first = sorted(islice(fit, 2), key=lambda e: e.out) if item.seen.reads > SPREAD_READS else []
-        busy = False
+        busy = None
         for edge in chain(first, fit):
             if self.open_to(edge, item):
                 if not self.busy(edge, item):
-                    return edge, busy
-                busy = True
-        return None, busy
+                    return edge, busy is not None
+                busy = busy or edge
+                if not self.room.fills(item.luck, self.now):
+                    break  # the next one would have to fill it through a link that is full
+        if busy is not None and self.room.bears(busy.entry.name, item.luck, self.now):
+            return busy, False
+        return None, busy is not None
 
     def pick_source(self, item: Open, edge: Server | None) -> Server | None:
         """A sibling seen holding the part, the parents in hash order, the origin."""
@@ -461,6 +471,9 @@
             for sibling in [self.servers[name] for name in held if name not in item.failed]:
                 if sibling.ready and not sibling.skipped and self.share_of(sibling) >= 1.0:
                     return sibling
+        if fills and edge is not None and not self.room.fills(item.luck, self.now):
+            item.link_full = item.unfillable = True  # what the home holds may still do
+            return None
         shed = False
         for source in chain(self.ranked(Tier.PARENT, place(item.request.key)), self.origins):
             if source.entry.name in item.failed or not self.open_to(source, item):
@@ -472,11 +485,12 @@
 
     def busy(self, server: Server, item: Open) -> bool:
         """Whether its limit is reached: large transfers reach it first, and a share under one sheds some."""
-        if server.late <= LATE_SHARE and (self.now - server.room_at < REPORT_AGE_S or server.out == 0):
+        late = server.late > LATE_SHARE and not self.room.told(server.entry.name, self.now)
+        if not late and (self.now - server.room_at < REPORT_AGE_S or server.out == 0):
             return False  # nothing out, no jam: a share under one request would shed by chance, not by load
         share = server.limit / self.sharers[server.tier]
         limit = share + LIMIT_CHANCE * math.sqrt(share)
-        return item.cost * item.luck > limit or (server.out > 0 and server.out + item.cost > limit)
+        return (late and item.cost * item.luck > limit) or (server.out > 0 and server.out + item.cost > limit)
 
     def held(self, seen: Seen) -> list[str]:
         """Who is believed to hold a part: lately seen so, and neither gone nor started anew since."""
@@ -755,6 +769,8 @@
 
     def report(self, server: Server, load: dict[str, float]) -> None:
         """A member's own word on its load: where it has room, no belief of ours may say that it is full."""
+        if server.tier is Tier.EDGE:
+            self.room.heard(server.entry.name, load, self.now)
         if "cpu" not in load:
             return
         if load["cpu"] < ROOM_CPU and (server.tier is not Tier.EDGE or load.get("x1", 0.0) < ROOM_LINK):
@@ -814,14 +830,3 @@
             for attempt in item.attempts:
                 if not attempt.over:
                     self.release(item, attempt)
-
-
-def check(settings: Settings) -> None:
-    """Settings that make no sense are refused with the field's name."""
-    if not settings.classes:
-        raise ValueError("settings: classes: expected at least one class")
-    if min(settings.routers or 0, settings.routers_here or 0) < 0:
-        raise ValueError("settings: routers: expected no count below 0")
-    for kind in settings.classes:
-        if not (kind.aim > 0 and kind.deadline > 0):
-            raise ValueError(f"settings: {kind.name}: expected aim and deadline above 0, got {kind}")
--- a/paddlequay/settings.py
+++ b/paddlequay/settings.py
@@ -101,3 +101,14 @@
         ),
         purge_done=get("extra.clearedWithin", float),
     )
+
+
+def check(settings: Settings) -> None:
+    """Settings that make no sense are refused with the field's name."""
+    if not settings.classes:
+        raise ValueError("settings: classes: expected at least one class")
+    if min(settings.routers or 0, settings.routers_here or 0) < 0:
+        raise ValueError("settings: routers: expected no count below 0")
+    for kind in settings.classes:
+        if not (kind.aim > 0 and kind.deadline > 0):
+            raise ValueError(f"settings: {kind.name}: expected aim and deadline above 0, got {kind}")
--- /dev/null
+++ b/tests/test_room.py
@@ -0,0 +1,126 @@
+"""Room by the caches' own words, alone and through the module: pure, without sockets."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from test_logic import EDGES, ORIGIN, PARENTS, Driver
+
+from paddlequay.fleet.room import EDGE_SPAN, FITS, FRESH_S, LINK_SPAN, Room, past
+from paddlequay.interface import AttemptEnded, Fetch, Note, Outcome, Refuse
+
+IDLE = {"active": 2.0, "cpu": 0.2, "x1": 0.3}
+FULL_LINK = IDLE | {"x1": 2 * LINK_SPAN[1]}
+JAM = {"active": 2 * FITS * EDGE_SPAN[1], "cpu": 1.0, "x1": 0.3}
+
+
+def crowd(**changes: object) -> Driver:
+    """One router of fourteen at each of four edges, which fill from three parents."""
+    return Driver(members=(*EDGES, *PARENTS, ORIGIN), routers=194, routers_here=14, direct=False, **changes)
+
+
+def end(driver: Driver, fetch: Fetch, load: dict[str, float] | None = None) -> None:
+    """An answer at once, with a cache's word where one is given."""
+    load_told = tuple((load or {}).items())
+    ended = AttemptEnded(fetch.request, 0, fetch.target, Outcome.SERVED, 0.01, True, Note.HIT, load=load_told)
+    driver.router.handle(ended, driver.now)
+
+
+def asked(driver: Driver, keys: range) -> list[tuple[int, Fetch]]:
+    return [(key, each) for key in keys for each in driver.ask(key) if isinstance(each, Fetch)]
+
+
+def say(driver: Driver, load: dict[str, float]) -> None:
+    """Have every edge give its word."""
+    heard: set[str] = set()
+    key = 10_000
+    while len(heard) < len(EDGES):
+        key += 1
+        for _, fetch in asked(driver, range(key, key + 1)):
+            heard.add(fetch.target)
+            end(driver, fetch, load)
+
+
+def test_with_the_link_full_the_home_is_asked_for_what_it_holds_and_nothing_is_filled() -> None:
+    """calm+mass: fills went on into a link with forty times the transfers that fit, and hits were refused."""
+    driver = crowd()
+    say(driver, FULL_LINK)
+    fetches = [fetch for _, fetch in asked(driver, range(20))]
+    assert len(fetches) == 20 and all(fetch.target == fetch.source for fetch in fetches)
+    ended = AttemptEnded(fetches[0].request, 0, fetches[0].target, Outcome.MISS, 0.001)
+    answer = driver.router.handle(ended, driver.now)
+    assert [each.cause for each in answer if isinstance(each, Refuse)] == ["link_full"] and len(answer) == 1
+
+
+@pytest.mark.parametrize(("load", "passed"), [(IDLE, True), (FULL_LINK, False)])
+def test_a_busy_home_is_passed_over_for_the_next_only_with_room_in_the_link(
+    load: dict[str, float], passed: bool
+) -> None:
+    """calm+mass: the next edge filled the object a second time, through the link that was short."""
+    driver, keys, home = crowd(), range(1, 9), {}
+    say(driver, load | {"cpu": 0.7})
+    for key in keys:
+        for _, fetch in asked(driver, range(key, key + 1)):
+            home[key] = fetch.target
+            end(driver, fetch)
+    again = asked(driver, keys)
+    assert len(again) == len(keys)
+    assert any(fetch.target != home[key] for key, fetch in again) == passed
+
+
+def test_an_edge_that_says_it_has_room_is_not_full_by_this_routers_own_requests() -> None:
+    """A share of a limit under one request turned away what the edge could bear."""
+    driver = crowd()
+    say(driver, IDLE | {"cpu": 0.7})
+    actions = [each for key in range(60) for each in driver.ask(key)]
+    assert not any(isinstance(each, Refuse) for each in actions)
+
+
+def test_edges_that_say_they_are_jammed_shed_at_once_and_are_believed_for_a_while() -> None:
+    driver = crowd()
+    say(driver, JAM)
+    actions = [each for key in range(60) for each in driver.ask(key)]
+    refused = [each for each in actions if isinstance(each, Refuse)]
+    assert len(refused) > 40 and {each.cause for each in refused} == {"edge_busy"}
+    for each in actions:
+        if isinstance(each, Fetch):
+            end(driver, each, JAM)
+    driver.now += 10 * FRESH_S
+    assert asked(driver, range(60, 70))
+
+
+def test_where_few_routers_meet_what_each_has_out_tells_and_words_do_not_shed() -> None:
+    """The platform's own days have one or two routers at an edge."""
+    driver = Driver(members=(*EDGES, *PARENTS, ORIGIN), routers=4, routers_here=1, direct=False)
+    say(driver, FULL_LINK)
+    fetches = [fetch for _, fetch in asked(driver, range(8))]
+    assert len(fetches) == 8 and all(fetch.target != fetch.source for fetch in fetches)
+
+
+def test_words_of_members_that_have_gone_are_not_kept() -> None:
+    driver = crowd()
+    say(driver, IDLE)
+    assert len(driver.router.room.words) == len(EDGES)
+    for edge in EDGES:
+        driver.router.drop(edge.name)
+    assert not driver.router.room.words
+
+
+def test_routers_that_heard_one_word_shed_the_same_share_together() -> None:
+    """Two hundred routers on one word: the sum falls evenly over the span, and none decides for itself."""
+    shares = []
+    for load in (1.0, 2.0, 3.0, 5.0):
+        room = Room()
+        room.heard("a", {"x1": load}, 0.0)
+        shares.append(sum(room.fills(number / 200, 0.1) for number in range(200)) / 200)
+    assert shares[0] == 1.0 and shares[-1] == 0.0
+    assert shares == sorted(shares, reverse=True) and 0.2 < shares[2] < shares[1] < 1.0
+
+
+@given(st.floats(0, 1e6), st.floats(0, 1), st.floats(0, 1e3))
+def test_more_load_never_lets_more_through(load: float, luck: float, more: float) -> None:
+    less, much = Room(), Room()
+    for room, value in ((less, load), (much, load + more)):
+        room.heard("a", {"active": value, "cpu": 1.0, "x1": value}, 0.0)
+    assert much.bears("a", luck, 0.0) <= less.bears("a", luck, 0.0)
+    assert much.fills(luck, 0.0) <= less.fills(luck, 0.0)
+    assert 0.0 <= past(load, LINK_SPAN) <= 1.0
