Look for an older process before an order is confirmed

Cause: test_a_drain_holds_for_both_processes failed once on a busy machine: the newer process's console answered POST /-/drain with 200 and the older one went on saying yes to 'alive'. Twin.confirm asks the links that are known, and the console is open before Twin.find has looked: with none known, all of none obeyed. Ruled out: the order lost on the link (an order not confirmed is no 200). Change: confirm waits, within confirm_longest, until find knows whether there is an older process. Measured: the new test fails without the wait, by its first assertion; no figure of the bench concerns it.

--- a/paddlequay/net/twin.py
+++ b/paddlequay/net/twin.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import logging
 import os
 import socket
@@ -118,6 +119,7 @@
         self.held: Held | None = None
         self.tasks: set[asyncio.Task[None]] = set()
         self.closed = False
+        self.found = asyncio.Event()  # whether there is an older process is known
         self.knowledge: Callable[[], dict[str, float]] = dict
         self.on_knowledge: Callable[[dict[str, float]], None] = lambda learned: None
         self.on_newer: Callable[[], None] = lambda: None
@@ -146,10 +148,12 @@
         else:
             link = self.older = Link(self, stream)
             self.spawn(self.follow_older(link))
+            self.found.set()
             try:
                 await asyncio.wait_for(link.known.wait(), self.limits.twin_connect)
             except TimeoutError:
                 log.event(LOGGER, logging.WARNING, "older_process_silent")
+        self.found.set()
         self.listen()
         return self.older is not None
 
@@ -224,7 +228,11 @@
             self.newer.send(held)
 
     async def confirm(self, name: str, mark: Mark, but: Link | None = None) -> bool:
-        """Whether every other process obeys an order."""
+        """Whether every other process obeys an order; at a start it is first seen whether there is one."""
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self.found.wait(), self.limits.confirm_longest)
+        if not self.found.is_set():
+            return False
         links = [link for link in (self.older, self.newer) if link is not None and link is not but]
         return all(await asyncio.gather(*(link.confirm(name, mark) for link in links)))
 
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -1,5 +1,6 @@
 """The operators' part of the real program: the console, and one process that replaces another."""
 
+import asyncio
 import contextlib
 import json
 import signal
@@ -12,11 +13,14 @@
 import pytest
 from harness import WAIT, Client, Party, Platform, platform, told, until
 
-from paddlequay.operation import Mark
+from paddlequay.config import Limits
+from paddlequay.counters import Counters
+from paddlequay.net.twin import Twin
+from paddlequay.operation import Mark, Operation
 from paddlequay.protocol import twin
 from paddlequay.protocol.console import Call, MalformedError, Reader
 from paddlequay.protocol.msgpack import pack
-from paddlequay.shares import Held
+from paddlequay.shares import Held, Shares
 
 
 @pytest.fixture
@@ -403,3 +407,19 @@
     p.folder.cleanup()
     status, why = p.call("/-/caches/box-1/disable")
     assert status == 503 and "not saved" in why
+
+
+def test_an_order_in_the_first_moment_of_a_process_waits_until_the_older_one_is_known(tmp_path: Path) -> None:
+    """Its console answered a drain with 200 before it had looked, and the older process served on."""
+
+    async def play() -> None:
+        limits = Limits(confirm_longest=0.2)
+        made = Twin(tmp_path / "a.sock", Operation(tmp_path / "a.json"), Shares(limits), limits, Counters())
+        assert not await made.confirm("drain", Mark(1, True))  # nobody has looked: no promise
+        asked = asyncio.ensure_future(made.confirm("drain", Mark(2, True)))
+        await asyncio.sleep(0.01)
+        assert not asked.done()
+        assert not await made.find() and await asked
+        made.close()
+
+    asyncio.run(play())
