Lean objects to the caches that say they are used less, alike at every router of a plaza

Sizes are not told and each cache had an equal share. Change: Room.balance integrates each word of use against the plaza's mean by time, within a factor of five; the edges' homes are weighted by it.

--- a/paddlequay/fleet/room.py
+++ b/paddlequay/fleet/room.py
@@ -20,6 +20,8 @@
 BUSY = 0.6  # use of a way out, a mean over the last report: below it what is held waits for fills
 FITS = 6.0  # transfers that fit a way out at full pace, until answers tell
 EDGE_SPAN = (2.0, 4.0)  # times as long as at full pace: aims allow twice the sending time and a constant
+GAIN = 0.5  # a second, of a lean, for a way out that is used wholly where the others are idle
+LEAN = 0.8  # either way at most: no two kinds of machine are more unlike than by five
 LINK_SPAN = (1.5, 4.0)  # one already uses all of the link; the rest is what waits in it
 
 
@@ -31,6 +33,7 @@
     active: float = 0.0
     use: float = 0.0
     at: float = -math.inf
+    lean: float = 0.0  # of objects to it: the logarithm of its weight beside the others
 
 
 def past(value: float, span: tuple[float, float]) -> float:
@@ -51,14 +54,33 @@
         self.link = 0.0
         self.link_at = -math.inf
 
+    @property
+    def crowd(self) -> bool:
+        """So many routers meet at each cache that what one of them has out tells nothing of its load."""
+        return self.routers >= CROWD
+
     def heard(self, name: str, load: Mapping[str, float], now: float) -> None:
         """A report came with an answer: `active` requests held, `cpu` use, `x1` the link's load."""
         if "active" in load and "cpu" in load:
             word = self.words.setdefault(name, Word())
+            self.balance(word, load["cpu"], now)
             word.active, word.use, word.at = load["active"], load["cpu"], now
         if "x1" in load:
             self.link, self.link_at = load["x1"], now
 
+    def balance(self, word: Word, use: float, now: float) -> None:
+        """Lean objects away from a way out that is used more than the others, by the time that has passed.
+
+        Nothing is told of sizes, and equal shares of the objects jam a small machine beside idle large ones.
+        All routers integrate the same words, so that they come to about the same weights; where theirs differ
+        by a part, so does the home of that part of the objects only (weighted rendezvous).
+        """
+        uses = [min(1.0, each.use) for each in self.words.values() if now - each.at <= FRESH_S]
+        if self.crowd and len(uses) > 1:
+            over = min(1.0, use) - sum(uses) / len(uses)
+            word.lean -= GAIN * min(1.0, now - word.at) * over
+            word.lean = max(-LEAN, min(LEAN, word.lean))
+
     def forget(self, name: str) -> None:
         """A member has gone or started anew; unknown names are no error."""
         self.words.pop(name, None)
@@ -66,7 +88,14 @@
     def told(self, name: str, now: float) -> bool:
         """Whether a cache has given its word lately, and it is what counts."""
         word = self.words.get(name)
-        return self.routers >= CROWD and word is not None and now - word.at <= FRESH_S
+        return self.crowd and word is not None and now - word.at <= FRESH_S
+
+    def share(self, name: str) -> float:
+        """The share of objects in (0, 1] that a cache is home of, beside the one with the widest way out."""
+        word = self.words.get(name)
+        if word is None:
+            return 1.0
+        return math.exp(word.lean - max(each.lean for each in self.words.values()))
 
     def slowness(self, name: str, now: float) -> float:
         """Times as long as at full pace that a transfer takes there; 1 where nothing fresh is known."""
@@ -80,5 +109,5 @@
 
     def fills(self, luck: float, now: float) -> bool:
         """Whether a request may draw a fill through the plaza's link; yes while nothing tells."""
-        fresh = self.routers >= CROWD and now - self.link_at <= FRESH_S
+        fresh = self.crowd and now - self.link_at <= FRESH_S
         return not fresh or past(self.link, LINK_SPAN) <= luck
--- a/paddlequay/logic.py
+++ b/paddlequay/logic.py
@@ -444,6 +444,8 @@
         The scaled share moves objects to a newcomer once each as it warms, the same ones at every router;
         turning away what is too much for it would fill the same objects in two places.
         """
+        if tier is Tier.EDGE:
+            return self.homes[tier].order(key, lambda e: self.share_of(e) * self.room.share(e.entry.name))
         return self.homes[tier].order(key, self.share_of)
 
     def pick_edge(self, item: Open) -> tuple[Server | None, bool]:
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -1,11 +1,16 @@
 """Room by the caches' own words, alone and through the module: pure, without sockets."""
 
+import math
+import random
+from collections import Counter
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 from test_logic import EDGES, ORIGIN, PARENTS, Driver
 
-from paddlequay.fleet.room import EDGE_SPAN, FITS, FRESH_S, LINK_SPAN, Room, past
+from paddlequay.fleet.room import EDGE_SPAN, FITS, FRESH_S, LEAN, LINK_SPAN, Room, past
+from paddlequay.hierarchy.homes import Homes, digest
 from paddlequay.interface import AttemptEnded, Fetch, Note, Outcome, Refuse
 
 IDLE = {"active": 2.0, "cpu": 0.2, "x1": 0.3}
@@ -96,6 +101,50 @@
     assert len(fetches) == 8 and all(fetch.target != fetch.source for fetch in fetches)
 
 
+def shares_after(seconds: float, seed: int, period: float = 0.7, noise: float = 0.1) -> dict[str, float]:
+    """One router's weights of a small, two usual and a large machine whose use follows from what all send."""
+    rng = random.Random(seed)
+    room, sizes = Room(), {"small": 4.0, "usual": 6.0, "other": 6.0, "large": 10.0}
+    due = sorted((rng.uniform(0.0, period), name) for name in sizes)
+    while due[0][0] < seconds:
+        now, name = due.pop(0)
+        total = sum(room.share(each) for each in sizes)
+        use = min(1.0, 16.0 * room.share(name) / total / sizes[name]) + rng.uniform(-noise, noise)
+        room.heard(name, {"active": 5.0, "cpu": use}, now)
+        due = sorted([*due, (now + rng.uniform(0.5, 1.5) * period, name)])
+    return {name: room.share(name) for name in sizes}
+
+
+def test_objects_lean_to_the_larger_machine_until_all_are_used_alike() -> None:
+    """calm+mass: equal shares jammed a small machine (use 1.0, 30 held) beside one of use 0.3 with 6."""
+    shares = shares_after(15.0, seed=1)
+    assert max(shares.values()) == shares["large"] == 1.0
+    assert shares["small"] < shares["usual"] < 1.0
+    assert shares["small"] == pytest.approx(0.4, abs=0.12)  # four to ten
+
+
+def test_routers_that_hear_at_other_times_and_with_other_noise_come_to_about_the_same_homes() -> None:
+    members = [(name, name, 1.0) for name in ("small", "usual", "other", "large")]
+    homes: Homes[str] = Homes()
+    homes.reset(members)
+    fleet = [shares_after(12.0, seed, period=0.3 + 0.1 * seed) for seed in range(14)]
+    agreed = 0
+    for key in range(400):
+        firsts = Counter(next(homes.order(digest(str(key)), shares.__getitem__)) for shares in fleet)
+        agreed += firsts.most_common(1)[0][1]
+    assert agreed / (400 * len(fleet)) > 0.9
+
+
+@given(st.lists(st.tuples(st.sampled_from("abc"), st.floats(0, 50), st.floats(0, 100)), max_size=60))
+def test_shares_stay_within_their_bounds_whatever_is_told(words: list[tuple[str, float, float]]) -> None:
+    room, now = Room(), 0.0
+    for name, use, after in words:
+        now += after
+        room.heard(name, {"active": use, "cpu": use}, now)
+    for name in "abcd":
+        assert math.exp(-2 * LEAN) - 1e-9 <= room.share(name) <= 1.0
+
+
 def test_words_of_members_that_have_gone_are_not_kept() -> None:
     driver = crowd()
     say(driver, IDLE)
