Count a source that caches cannot reach as failing, not as full

Router.judge returned for any refusal with notes, as of a full member. Ruled out: the cut origin (ORIGIN_FAILED was told apart), the caches (others' fills there were served). The new test of test_logic.py fails without it.

--- a/paddlequay/logic.py
+++ b/paddlequay/logic.py
@@ -712,7 +712,8 @@
             return self.fail(blamed, True)
         if event.outcome in (Outcome.TIMEOUT, Outcome.REFUSED):
             self.pace(blamed, True)
-        if event.outcome is Outcome.REFUSED and self.settings.notes and not cut_off:
+        away = cut_off or event.note is Note.SOURCE_UNREACHED
+        if event.outcome is Outcome.REFUSED and self.settings.notes and not away:
             return  # full, not failing: skipped, it would fill up the next one with its load and its fills
         if event.outcome is Outcome.TIMEOUT and blamed.ok_at > attempt.sent:
             # Slow, not silent: skipping it would move its load to members as busy, and its fills to a parent
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -182,6 +182,21 @@
     assert driver.fetch().source == home
 
 
+@pytest.mark.parametrize(("note", "skipped"), [(Note.SOURCE_UNREACHED, True), (Note.SOURCE_REFUSED, False)])
+def test_a_parent_that_edges_cannot_reach_is_skipped_and_one_that_is_full_is_not(
+    note: Note, skipped: bool
+) -> None:
+    """split+mass: 3,376 attempts were refused for it while a zone was cut off, and used the repeats up."""
+    driver = Driver(notes=True)
+    source = driver.fetch(key=7).source
+    for _ in range(SKIP_FAILURES):
+        fetch = driver.fetch(key=7)
+        assert fetch.source == source
+        driver.now += 2 * SAME_FAULT_S
+        driver.end(fetch, Outcome.REFUSED, note)
+    assert (driver.fetch(key=7).source != source) == skipped
+
+
 def test_a_dead_edge_is_skipped_and_what_waits_there_is_recalled() -> None:
     driver = Driver()
     held = [driver.fetch(key) for key in range(20)]
