Say in one line what a command needs where its libraries are not installed

Change: main catches the missing module, names it and the file to install, and ends with 2. The new test fails without it; run there: 'paddlequay: click is missing: pip install -r requirements-lab.txt', exit 2.

--- a/paddlequay/__main__.py
+++ b/paddlequay/__main__.py
@@ -253,8 +253,12 @@
 def main() -> int:
     if len(sys.argv) > 1:
         # Everything but the router itself: what that needs is not loaded where it only routes.
-        from paddlequay.cli import main as cli
-
+        try:
+            from paddlequay.cli import main as cli
+        except ModuleNotFoundError as error:
+            why = f"{error.name} is missing: pip install -r requirements-lab.txt"
+            print(f"paddlequay: {why}", file=sys.stderr)
+            return 2
         return cli.main()
     log.set_up()
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the program can act on it
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -531,3 +531,13 @@
     p.box.answer("HIT", "-", b"x")
     assert client.answer()[3][0] == b"x" and p.process.poll() is None
     moved.listener.close()
+
+
+def test_a_command_without_its_libraries_says_in_one_line_what_to_install() -> None:
+    """In the environment that `build` makes, `--help` and every command died with a traceback."""
+    code = "import sys; sys.modules['click'] = None; sys.argv[1:] = ['--help']\n"
+    code += "from paddlequay.__main__ import main; sys.exit(main())"
+    command = [sys.executable, "-c", code]
+    done = subprocess.run(command, capture_output=True, text=True, timeout=WAIT, cwd=ROOT)
+    assert done.returncode == 2 and done.stdout == ""
+    assert done.stderr == "paddlequay: click is missing: pip install -r requirements-lab.txt\n"
