Keep what passes cold edges by out of a full link, and shed by bytes for worth

From then on its link stood at 5 to 20 times the transfers that fit (x1) while its edges used 0.00 to 0.04 of their ways out; every second request was a look at an empty edge (E<- MISS, 1 ms) refused as link_full, and what moved bytes were parents asked past the edges (P<O, lane-video 1.3 to 1.9 s). No edge was filled for 12 s.

Alone it serves a request; by eleven routers it locks the plaza. Looks besides took of the cold edges' budget as much as fills (send), and photos were shed with videos though they are an eighth of the bytes.

Ruled out: the cold pace alone (edges idle at full budget), the parents (waited 0.01 to 0.1 s), a cut link (photos came in 0.1 s).

Change: the way past the edges takes only what fills leave (PAST_SPAN); a full link sheds first the class with most bytes for its worth; a cold edge is asked for what it holds by its own share of hits.

Without each of the three guards its test fails.

--- /dev/null
+++ b/paddlequay/fleet/cold.py
@@ -0,0 +1,98 @@
+"""How much work cold members may be sent, so that it adds up over all routers to what they can bear.
+
+A member that has just started does a part of its work, and falls over when all routers together send it
+more than a multiple of that for some seconds. Its capacity is told to nobody. Warm members bear the load:
+a router's own load for each of them, scaled by the cold share, adds up over all routers to what a cold
+one can do, whatever the unit.
+"""
+
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from paddlequay.interface import Ramp
+
+PACE = 0.7  # of the rule's multiple: what a cold member is sent, as the load borne may near capacity
+WARM_LEAST = 0.75  # of the members count as bearing the load at least: where all are cold, none has shown it
+BURST = 0.25  # of the rule's window: a start is met evenly, not with a burst
+MEMORY_S = 10.0  # memory of the load served by a warm member; longer than a burst
+
+
+@dataclass(slots=True)
+class Bucket:
+    """Work that may be sent to one cold member now; `at` None while it is warm."""
+
+    tokens: float = 0.0
+    at: float | None = None
+
+    def take(self, work: float) -> None:
+        """Work goes to the member, or comes back where it was not done."""
+        if self.at is not None:
+            self.tokens -= work
+
+
+class Cold:
+    """The ramp of one kind of member, and the load that the warm ones of it are seen to bear.
+
+    Bounded by the members of `reset`. Times are seconds, work is in any unit.
+    """
+
+    def __init__(self, ramp: Ramp) -> None:
+        self.ramp = ramp
+        self.rate = 0.0  # work served a second for each member that bears the load
+        self.at = -math.inf
+        self.count = 0
+        self.starts: list[float] = []  # of members that are cold yet
+
+    def reset(self, starts: Iterable[float | None], now: float) -> None:
+        """The members that work may go to, by their starts."""
+        told = list(starts)
+        self.count = len(told)
+        self.starts = [start for start in told if start and self.share(start, now) < 1.0]
+
+    def share(self, started: float | None, now: float) -> float:
+        """The share of its capacity that a member can give at least; 1 when warm."""
+        ramp = self.ramp
+        if not started or not ramp.warm_after or ramp.start is None:
+            return 1.0
+        age = max(0.0, now - started)
+        return min(1.0, ramp.start + (1.0 - ramp.start) * age / ramp.warm_after)
+
+    def bearing(self, now: float) -> float:
+        """How many warm members the load is spread over, as nearly as a mix of cold and warm ones tells."""
+        if not self.starts:
+            return max(1.0, self.count)
+        shares = [self.share(start, now) for start in self.starts]
+        if 1.0 in shares:
+            self.starts = [start for start in self.starts if self.share(start, now) < 1.0]
+        return max(1.0, WARM_LEAST * self.count, self.count + sum(shares) - len(shares))
+
+    def served(self, work: float, now: float) -> None:
+        """Count work that was done; a new router counts from nothing.
+
+        What was only sent does not count: repeats and looks are most where members bear least. Each answer is
+        shared out when it comes: members that leave the list must not raise what the rest seem to bear.
+        """
+        fade = math.exp(-(now - self.at) / MEMORY_S) if self.at > -math.inf else 1.0
+        self.rate = self.rate * fade + work / MEMORY_S / self.bearing(now)
+        self.at = now
+
+    def pace(self, started: float | None, now: float) -> float | None:
+        """Work a second that this router may send a cold member; None when it is warm."""
+        share = self.share(started, now)
+        return None if share >= 1.0 else PACE * (self.ramp.multiple or 1.0) * share * self.rate
+
+    def admits(self, bucket: Bucket, started: float | None, work: float, luck: float, now: float) -> bool:
+        """Whether a member may be sent `work` now, by a request's `luck` in [0, 1); yes when it is warm.
+
+        Part of a request saved up admits one by that chance: a whole one each, from two hundred routers at
+        once, would push a parent over.
+        """
+        pace = self.pace(started, now)
+        if pace is None:
+            bucket.at = None
+            return True
+        since = 0.0 if bucket.at is None else now - bucket.at
+        most = pace * (self.ramp.window or 1.0) * BURST
+        bucket.tokens, bucket.at = min(most, bucket.tokens + pace * since), now
+        return bucket.tokens > luck * work
--- a/paddlequay/fleet/room.py
+++ b/paddlequay/fleet/room.py
@@ -23,6 +23,7 @@
 GAIN = 0.5  # a second, of a lean, for a way out that is used wholly where the others are idle
 LEAN = 0.8  # either way at most: no two kinds of machine are more unlike than by five
 LINK_SPAN = (1.5, 4.0)  # one already uses all of the link; the rest is what waits in it
+PAST_SPAN = (0.5, 1.0)  # for what is kept by no cache: only room that fills leave
 
 
 @dataclass(slots=True)
@@ -31,6 +32,7 @@
 
     active: float = 0.0
     use: float = 0.0
+    hits: float = 0.0  # its share of hits lately
     at: float = -math.inf
     lean: float = 0.0  # of objects to it: the logarithm of its weight beside the others
 
@@ -67,6 +69,7 @@
             if self.crowd:
                 self.balance(word, use, now)
             word.active, word.use, word.at = load["active"], use, now
+            word.hits = load.get("x0", 1.0)
         if "x1" in load:
             self.link, self.link_at = load["x1"], now
 
@@ -108,7 +111,16 @@
         """Whether a cache by its own word bears a request, with that one's `luck` in [0, 1)."""
         return self.told(name, now) and past(self.slowness(name, now), EDGE_SPAN) <= luck
 
-    def fills(self, luck: float, now: float) -> bool:
-        """Whether a request may draw a fill through the plaza's link; yes while nothing tells."""
+    def fills(self, luck: float, now: float, dear: float = 1.0, kept: bool = True) -> bool:
+        """Whether a request may draw its bytes through the plaza's link; yes while nothing tells.
+
+        `dear` in (0, 1]: its bytes for its worth, beside the class that has most: at a full link that one is
+        shed first. `kept`: a cache keeps the copy. What passes the caches by comes again with the next
+        reader, and while it used the link up no cache that had started empty was ever filled.
+        """
         fresh = self.crowd and now - self.link_at <= FRESH_S
-        return not fresh or past(self.link, LINK_SPAN) <= luck
+        return not fresh or past(self.link * dear, LINK_SPAN if kept else PAST_SPAN) <= luck
+
+    def holds(self, name: str, luck: float, now: float) -> bool:
+        """Whether a cache is worth a look, by the chance that its own share of hits gives; yes untold."""
+        return not self.told(name, now) or luck < self.words[name].hits
--- a/paddlequay/hierarchy/climb.py
+++ b/paddlequay/hierarchy/climb.py
@@ -92,8 +92,7 @@
     def ask(self, item: Open, server: Server, rung: Rung) -> None:
         """One attempt; a node is allowed to fill by naming the store as the source, a look names none."""
         attempt = Attempt(server, server, self.now, False)
-        if server.tokens_at is not None:
-            server.tokens -= self.work[item.kind.name]
+        server.bucket.take(self.work[item.kind.name])
         if server.skipped and server.trial is None:
             server.trial = item.request.id
         server.out += item.cost
--- a/paddlequay/logic.py
+++ b/paddlequay/logic.py
@@ -13,6 +13,7 @@
 from enum import Enum
 from itertools import chain, islice
 
+from paddlequay.fleet.cold import Bucket, Cold
 from paddlequay.fleet.room import Room
 from paddlequay.hierarchy.homes import Homes, digest, place
 from paddlequay.interface import (
@@ -32,7 +33,6 @@
     Note,
     Outcome,
     Purged,
-    Ramp,
     Refuse,
     Request,
     RequestClass,
@@ -84,10 +84,6 @@
 ASK_AGAIN_S = (0.5, 1.5)  # for the list, after a failed call: discovery may be what is overloaded
 
 # Rules.
-COLD_PACE = 0.7  # of the rule's multiple: what a cold member is sent, as the load borne may near capacity
-WARM_LEAST = 0.75  # of the members count as bearing the load at least: where all are cold, none has shown it
-COLD_BURST = 0.25  # of the rule's window: a start is met evenly, not with a burst
-RATE_MEMORY_S = 10.0  # memory of the load served by a warm member; longer than a burst
 WINDOW_MARGIN_S = 0.1  # a keyed repeat must arrive inside its window, so it is sent earlier than its end
 AGE_LEAST_S = 0.001  # an age limit of 0 would mean the default
 
@@ -132,8 +128,7 @@
     heard_at: float = -math.inf
     cut_at: float = -math.inf
     room_at: float = -math.inf
-    tokens: float = 0.0
-    tokens_at: float | None = None
+    bucket: Bucket = field(default_factory=Bucket)
 
     @property
     def ready(self) -> bool:
@@ -199,7 +194,7 @@
         self.servers: dict[str, Server] = {}
         self.sharers: dict[Tier, float] = {}
         self.homes: dict[Tier, Homes[Server]] = {Tier.EDGE: Homes(), Tier.PARENT: Homes()}
-        self.cold: dict[Tier, list[Server]] = {}
+        self.cold = {Tier.EDGE: Cold(settings.cold_edge), Tier.PARENT: Cold(settings.cold_parent)}
         self.origins: list[Server] = []
         self.room = Room()
         self.open: dict[str, Open] = {}
@@ -213,9 +208,7 @@
         self.calm: dict[str, tuple[int, float]] = {}
         self.mean_work = sum(self.work.values()) / len(self.work)
         self.budget = BUDGET_RESERVE
-        self.rate_at = -math.inf
-        self.edge_rate = 0.0
-        self.fill_rate = 0.0
+        self.begun = False
         self.actions: list[Action] = []
         self.now = 0.0
         self.cause: Cause = "no_source"  # why the last step found nothing
@@ -224,8 +217,8 @@
         """What to do about one event."""
         self.actions = []
         self.now = now
-        if self.rate_at == -math.inf:
-            self.rate_at = now
+        if not self.begun:
+            self.begun = True
             if self.settings.must_ask:
                 self.actions.append(Subscribe())
         match event:
@@ -287,7 +280,7 @@
             self.homes[tier].reset(
                 (each.entry.name, each, (each.entry.weight or 1.0) if weighted else 1.0) for each in servers
             )
-            self.cold[tier] = [server for server in servers if self.share_of(server) < 1.0]
+            self.cold[tier].reset((server.entry.started for server in servers), self.now)
         self.origins = [server for server in ready if server.tier is Tier.ORIGIN]
         fills = FILL_SHARE * max(1, len(everywhere)) / (self.settings.routers or 1)
         self.sharers[Tier.EDGE] = self.room.routers = self.settings.routers_here or 1
@@ -308,7 +301,7 @@
 
     def knowledge(self) -> dict[str, float]:
         """What a process that replaces this one could only learn anew while it turns requests away."""
-        told = {"edge_rate": self.edge_rate, "fill_rate": self.fill_rate}
+        told = {"edge_rate": self.cold[Tier.EDGE].rate, "fill_rate": self.cold[Tier.PARENT].rate}
         for kind in self.kinds:
             told[f"work {kind}"], told[f"slow {kind}"] = self.work[kind], self.slowness[kind]
         for name, server in self.servers.items():
@@ -321,8 +314,8 @@
         A limit that was cut below the first one is not taken over: it regains slowly, a start finds anew.
         """
         told = event.knowledge
-        self.edge_rate = told.get("edge_rate", self.edge_rate)
-        self.fill_rate = told.get("fill_rate", self.fill_rate)
+        for cold, name in zip(self.cold.values(), ("edge_rate", "fill_rate"), strict=True):
+            cold.rate = told.get(name, cold.rate)
         for kind in self.kinds:
             self.work[kind] = told.get(f"work {kind}", self.work[kind])
             self.slowness[kind] = told.get(f"slow {kind}", self.slowness[kind])
@@ -427,17 +420,26 @@
         """
         edge, edge_busy = self.pick_edge(item)
         self.cause = "edge_busy" if edge_busy else "no_edge" if edge is None else "no_source"
-        self.cause = "link_full" if item.link_full else self.cause
         if edge is None and (edge_busy or not self.settings.direct):
             return None
         source = None if item.unfillable else self.pick_source(item, edge)
+        self.cause = "link_full" if item.link_full else self.cause
         if edge is None:
             return (source, self.origins[0] if self.origins else source) if source is not None else None
         if source is not None:
             return edge, source
         looked = any(attempt.target is attempt.source for attempt in item.attempts)
+        if item.link_full and self.share_of(edge) < 1.0:
+            # A look takes of what a cold member bears as much as a fill, and one that is empty holds nothing.
+            looked = looked or not self.room.holds(edge.entry.name, item.luck, self.now)
         return None if looked else (edge, edge)
 
+    def dear(self, item: Open) -> float:
+        """The bytes of a request's class for its worth, beside the class kept that has most, in (0, 1]."""
+        kept = (kind for kind in self.kinds.values() if not kind.uncacheable)
+        most = max(self.work[kind.name] / (kind.worth or 1.0) for kind in kept)
+        return self.work[item.kind.name] / (item.kind.worth or 1.0) / most
+
     def ranked(self, tier: Tier, key: int) -> Iterator[Server]:
         """The homes of a key in order, by size where weights mean that, and by what a cold member can give.
 
@@ -459,7 +461,7 @@
                 if not self.busy(edge, item):
                     return edge, busy is not None
                 busy = busy or edge
-                if not self.room.fills(item.luck, self.now):
+                if not self.room.fills(item.luck, self.now, self.dear(item)):
                     break  # the next one would have to fill it through a link that is full
         if busy is not None and self.room.bears(busy.entry.name, item.luck, self.now):
             return busy, False
@@ -473,7 +475,7 @@
             for sibling in [self.servers[name] for name in held if name not in item.failed]:
                 if sibling.ready and not sibling.skipped and self.share_of(sibling) >= 1.0:
                     return sibling
-        if fills and edge is not None and not self.room.fills(item.luck, self.now):
+        if fills and not self.room.fills(item.luck, self.now, self.dear(item), kept=edge is not None):
             item.link_full = item.unfillable = True  # what the home holds may still do
             return None
         shed = False
@@ -504,64 +506,14 @@
         """Whether a server may be used now: not skipped (or due its trial), not too cold for more."""
         if server.skipped and (server.trial is not None or self.now < server.trial_at):
             return False
-        cold_pace = self.cold_pace(server)
-        if cold_pace is None:
-            server.tokens_at = None
-            return True
-        burst = cold_pace * (self.ramp(server).window or 1.0) * COLD_BURST
-        since = 0.0 if server.tokens_at is None else self.now - server.tokens_at
-        server.tokens, server.tokens_at = min(burst, server.tokens + cold_pace * since), self.now
-        # Part of a request saved up admits one by that chance: a whole one each, from two hundred routers at
-        # once, would push a parent over.
-        return server.tokens > item.luck * self.work[item.kind.name]
-
-    # --- cold members ---
-
-    def ramp(self, server: Server) -> Ramp:
-        return self.settings.cold_parent if server.tier is Tier.PARENT else self.settings.cold_edge
+        started, work = server.entry.started, self.work[item.kind.name]
+        cold = self.cold.get(server.tier)
+        return cold is None or cold.admits(server.bucket, started, work, item.luck, self.now)
 
     def share_of(self, server: Server) -> float:
         """The share of its capacity that a member can give at least; 1 when warm."""
-        ramp = self.ramp(server)
-        started = server.entry.started if server.tier is not Tier.ORIGIN else None
-        if not started or not ramp.warm_after or ramp.start is None:
-            return 1.0
-        age = max(0.0, self.now - started)
-        return min(1.0, ramp.start + (1.0 - ramp.start) * age / ramp.warm_after)
-
-    def cold_pace(self, server: Server) -> float | None:
-        """Work a second that this router may send a cold member; None when warm.
-
-        Capacity is not told, but warm members bear the present load: a router's own load per edge or parent,
-        scaled by the cold share, adds up over all routers to what the member can do, whatever the unit.
-        """
-        share = self.share_of(server)
-        if share >= 1.0:
-            return None
-        rate = self.edge_rate if server.tier is Tier.EDGE else self.fill_rate
-        return COLD_PACE * (self.ramp(server).multiple or 1.0) * share * rate
-
-    def bearing(self, tier: Tier) -> float:
-        """How many warm members the load is spread over, as nearly as a mix of cold and warm ones tells."""
-        cold = self.cold.get(tier)
-        count = len(self.homes[tier])
-        if not cold:
-            return max(1.0, count)
-        shares = [self.share_of(server) for server in cold]
-        if 1.0 in shares:
-            self.cold[tier] = [server for server, share in zip(cold, shares, strict=True) if share < 1.0]
-        return max(1.0, WARM_LEAST * count, count + sum(shares) - len(shares))
-
-    def count_rate(self, work: float, fills: float) -> None:
-        """Load served per warm member, as a rate over the last seconds; a new router counts from nothing.
-
-        What was only sent does not count: repeats and looks are most where members bear least. Each answer is
-        shared out when it comes: members that leave the list must not raise what the rest seem to bear.
-        """
-        fade, memory = math.exp(-(self.now - self.rate_at) / RATE_MEMORY_S), work / RATE_MEMORY_S
-        self.edge_rate = self.edge_rate * fade + memory / self.bearing(Tier.EDGE)
-        self.fill_rate = self.fill_rate * fade + memory * fills / self.bearing(Tier.PARENT)
-        self.rate_at = self.now
+        cold = self.cold.get(server.tier)
+        return 1.0 if cold is None else cold.share(server.entry.started, self.now)
 
     # --- sending ---
 
@@ -571,8 +523,7 @@
         work = self.work[item.kind.name]
         attempt = Attempt(target, source, self.now, fills)
         for server in {target.entry.name: target, source.entry.name: source}.values():
-            if server.tokens_at is not None:
-                server.tokens -= work
+            server.bucket.take(work)
             if server.skipped and server.trial is None:
                 server.trial = item.request.id
         target.out += item.cost
@@ -677,13 +628,16 @@
         if event.outcome is Outcome.SERVED:
             self.succeed(target)
             filled = attempt.fills if event.note is None else event.note in FILLS
-            self.count_rate(self.work[item.kind.name], filled * (FILL_SHARE if event.note is None else 1.0))
+            work = self.work[item.kind.name]
+            share = filled * (FILL_SHARE if event.note is None else 1.0)
+            self.cold[Tier.EDGE].served(work, self.now)
+            self.cold[Tier.PARENT].served(work * share, self.now)
             if filled:
                 self.succeed(source)
             if event.note is Note.FILLED_FROM_ORIGIN and self.origins:
                 self.succeed(self.origins[0])
-            if event.note is Note.HIT and attempt.fills and source.tokens_at is not None:
-                source.tokens += self.work[item.kind.name]
+            if event.note is Note.HIT and attempt.fills:
+                source.bucket.take(-work)
             # A late answer that did not wait for its fill says nothing of who filled it: one edge that bore
             # all of its location was late, and the parents' limits were cut for it.
             by_source = filled and (event.waited is None or event.waited > WAITED_SHARE * event.latency)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -202,10 +202,10 @@
         end(router, fetch, Outcome.SERVED, 2.0 + number / 40, Note.HIT)
     cold = Member("edge-0", "here", "cache", 0, State.READY, None, 12.0)
     router.handle(MembersChanged((cold,)), 12.0)
-    before = router.cold_pace(router.servers["edge-0"])
+    before = router.cold[Tier.EDGE].pace(12.0, 12.0)
     gone = tuple(Member(f"edge-{n}", state=State.GONE) for n in range(1, 4))
     router.handle(MembersChanged(gone), 12.0)
-    assert before and router.cold_pace(router.servers["edge-0"]) == before
+    assert before and router.cold[Tier.EDGE].pace(12.0, 12.0) == before
 
 
 def test_an_odd_count_of_routers_is_no_error() -> None:
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -40,6 +40,7 @@
     SKIP_FAILURES,
     TRIAL_DELAY_S,
     Router,
+    Tier,
 )
 
 SAFE = RequestClass("pages", aim=0.3, deadline=2.5, effect=Effect.SAFE, fresh=8.0, grace=30.0)
@@ -326,7 +327,7 @@
     first = len(sent(Driver(members)))
     newer.router.handle(Inherited(older.router.knowledge()), newer.now)
     assert len(sent(newer)) > 2 * first > 0
-    assert newer.router.edge_rate == older.router.edge_rate > 0.0
+    assert newer.router.cold[Tier.EDGE].rate == older.router.cold[Tier.EDGE].rate > 0.0
 
 
 def test_a_draining_origin_is_not_named_when_requests_go_past_the_edges() -> None:
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -3,15 +3,17 @@
 import math
 import random
 from collections import Counter
+from dataclasses import replace
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from test_logic import EDGES, ORIGIN, PARENTS, Driver
+from test_logic import EDGES, ORIGIN, PARENTS, SAFE, UNSAFE, Driver
 
 from paddlequay.fleet.room import EDGE_SPAN, FITS, FRESH_S, LEAN, LINK_SPAN, Room, past
 from paddlequay.hierarchy.homes import Homes, digest
 from paddlequay.interface import AttemptEnded, Fetch, Note, Outcome, Refuse
+from paddlequay.logic import Tier
 
 IDLE = {"active": 2.0, "cpu": 0.2, "x1": 0.3}
 FULL_LINK = IDLE | {"x1": 2 * LINK_SPAN[1]}
@@ -175,3 +177,57 @@
     assert much.bears("a", luck, 0.0) <= less.bears("a", luck, 0.0)
     assert much.fills(luck, 0.0) <= less.fills(luck, 0.0)
     assert 0.0 <= past(load, LINK_SPAN) <= 1.0
+
+
+def lost_zone(x1: float, x0: float = 0.0) -> Driver:
+    """A plaza all of whose edges came back empty a moment ago, and say so: nothing is saved up for them."""
+    driver = Driver(members=(*EDGES, *PARENTS, ORIGIN), routers=194, routers_here=14)
+    for edge in EDGES:
+        driver.router.room.heard(edge.name, IDLE | {"x1": x1, "x0": x0}, driver.now)
+    driver.list(*(replace(edge, started=driver.now) for edge in EDGES))
+    for edge in EDGES:
+        driver.router.room.heard(edge.name, IDLE | {"x1": x1, "x0": x0}, driver.now)
+    return driver
+
+
+@pytest.mark.parametrize(("x1", "passes"), [(0.3, True), (1.2, False), (30.0, False)])
+def test_nothing_passes_the_edges_by_through_a_link_that_fills_use(x1: float, passes: bool) -> None:
+    """zone+vast: what went past cold edges kept the link twenty times full: no edge was filled again."""
+    driver, causes, by = lost_zone(x1), Counter[str](), Counter[str]()
+    for key in range(40):
+        (action,) = driver.ask(key)
+        if isinstance(action, Fetch):
+            by[action.target.partition("-")[0]] += 1
+            driver.serve(action, Note.FILLED)
+        elif isinstance(action, Refuse):
+            causes[action.cause] += 1
+    assert (by, causes) == (({"parent": 40}, {}) if passes else ({}, {"link_full": 40}))
+
+
+def test_a_full_link_sheds_first_what_has_most_bytes_for_its_worth() -> None:
+    """Photos are an eighth of the bytes and half of the requests: shed alike, they gave the link no room."""
+    room = Room(14)
+    room.heard("edge-0", FULL_LINK, 1.0)
+    assert not any(room.fills(luck / 10, 1.0) for luck in range(10))
+    assert all(room.fills(luck / 10, 1.0, dear=LINK_SPAN[0] / FULL_LINK["x1"]) for luck in range(10))
+    classes = (SAFE, replace(SAFE, name="films", worth=2.0), UNSAFE)
+    driver, dear = Driver(classes=classes, routers=194, routers_here=14), {}
+    driver.router.work |= {"pages": 0.1, "films": 0.8, "pays": 9.0}
+    for kind in ("pages", "films"):
+        (fetch,) = driver.ask(1, kind=kind)
+        assert isinstance(fetch, Fetch)
+        dear[kind] = driver.router.dear(driver.router.open[fetch.request])
+    assert dear == {"pages": pytest.approx(0.25), "films": 1.0}
+
+
+@pytest.mark.parametrize(("x0", "looks"), [(0.0, 0), (1.0, 30)])
+def test_at_a_full_link_a_cold_edge_is_asked_only_where_it_may_hold_something(x0: float, looks: int) -> None:
+    """A look takes of what a cold edge bears as much as a fill: empty ones had nothing left for fills."""
+    driver = lost_zone(FULL_LINK["x1"], x0)
+    driver.router.cold[Tier.EDGE].rate = 100.0
+    driver.ask(99)  # from the first request on work is saved up for them
+    driver.now += 1.0
+    for edge in EDGES:
+        driver.router.room.heard(edge.name, FULL_LINK | {"x0": x0}, driver.now)
+    fetches = [each for key in range(30) for each in driver.ask(key) if isinstance(each, Fetch)]
+    assert len(fetches) == looks and all(each.target == each.source for each in fetches)
