End connections that only charges use, and pace cold edges by what their words tell

(2) Router.pass_untouched never looked whether a parent is skipped. (3) count_rate: the load seen is what was served, so each refusal lowers the pace of the cold members it was refused for. (4) Router.succeed: a member that answers after silence was taken for warm until the list spoke.

Change: a connection that only charges went to ends after 0.1 s idle; skipped parents come last for charges; cold edges get share x (work served over ways out in use, by all members' own words), or the old pace where that is more; an edge that answers after silence and reports no hits is cold from then.

Each change's test fails without it.

--- a/paddlequay/fleet/cold.py
+++ b/paddlequay/fleet/cold.py
@@ -14,6 +14,8 @@
 
 PACE = 0.7  # of the rule's multiple: what a cold member is sent, as the load borne may near capacity
 WARM_LEAST = 0.75  # of the members count as bearing the load at least: where all are cold, none has shown it
+WHOLE = 1.0  # of its capacity, where members' own words tell that: more would only wait there
+USED_LEAST = 0.2  # ways out in use, over all members, from which on that can be told
 BURST = 0.25  # of the rule's window: a start is met evenly, not with a burst
 MEMORY_S = 10.0  # memory of the load served by a warm member; longer than a burst
 
@@ -40,6 +42,8 @@
     def __init__(self, ramp: Ramp) -> None:
         self.ramp = ramp
         self.rate = 0.0  # work served a second for each member that bears the load
+        self.work = 0.0  # the same, by all of them
+        self.used = 0.0  # of all ways out, by the members' own words, over the same time
         self.at = -math.inf
         self.count = 0
         self.starts: list[float] = []  # of members that are cold yet
@@ -67,20 +71,28 @@
             self.starts = [start for start in self.starts if self.share(start, now) < 1.0]
         return max(1.0, WARM_LEAST * self.count, self.count + sum(shares) - len(shares))
 
-    def served(self, work: float, now: float) -> None:
-        """Count work that was done; a new router counts from nothing.
+    def served(self, work: float, now: float, used: float = 0.0) -> None:
+        """Count work that was done while members said that they `used` so many of their ways out, 0 untold.
 
         What was only sent does not count: repeats and looks are most where members bear least. Each answer is
-        shared out when it comes: members that leave the list must not raise what the rest seem to bear.
+        shared out when it comes: members that leave the list must not raise what the rest seem to bear. A new
+        router counts from nothing.
         """
-        fade = math.exp(-(now - self.at) / MEMORY_S) if self.at > -math.inf else 1.0
+        since = now - self.at if self.at > -math.inf else 0.0
+        fade = math.exp(-since / MEMORY_S)
         self.rate = self.rate * fade + work / MEMORY_S / self.bearing(now)
+        self.work = self.work * fade + work / MEMORY_S
+        self.used = self.used * fade + used * (1.0 - fade)
         self.at = now
 
     def pace(self, started: float | None, now: float) -> float | None:
         """Work a second that this router may send a cold member; None when it is warm."""
         share = self.share(started, now)
-        return None if share >= 1.0 else PACE * (self.ramp.multiple or 1.0) * share * self.rate
+        if share >= 1.0:
+            return None
+        # What served work and used ways out come to does not fall with what is turned away, as the load does.
+        whole = self.work / self.used if self.used >= USED_LEAST else 0.0
+        return share * max(PACE * (self.ramp.multiple or 1.0) * self.rate, WHOLE * whole)
 
     def admits(self, bucket: Bucket, started: float | None, work: float, luck: float, now: float) -> bool:
         """Whether a member may be sent `work` now, by a request's `luck` in [0, 1); yes when it is warm.
--- a/paddlequay/fleet/room.py
+++ b/paddlequay/fleet/room.py
@@ -91,6 +91,10 @@
         if self.words.pop(name, None) is not None:
             self.top = max((each.lean for each in self.words.values()), default=0.0)
 
+    def used(self) -> float:
+        """How many ways out are used, by all words; 0 where they do not count."""
+        return sum(word.use for word in self.words.values()) if self.crowd else 0.0
+
     def told(self, name: str, now: float) -> bool:
         """Whether a cache has given its word lately, and it is what counts."""
         word = self.words.get(name)
--- a/paddlequay/logic.py
+++ b/paddlequay/logic.py
@@ -129,6 +129,7 @@
     cut_at: float = -math.inf
     room_at: float = -math.inf
     bucket: Bucket = field(default_factory=Bucket)
+    back_at: float | None = None  # believed to have started anew then: the list has not said so yet
 
     @property
     def ready(self) -> bool:
@@ -280,7 +281,7 @@
             self.homes[tier].reset(
                 (each.entry.name, each, (each.entry.weight or 1.0) if weighted else 1.0) for each in servers
             )
-            self.cold[tier].reset((server.entry.started for server in servers), self.now)
+            self.cold[tier].reset(map(self.started, servers), self.now)
         self.origins = [server for server in ready if server.tier is Tier.ORIGIN]
         fills = FILL_SHARE * max(1, len(everywhere)) / (self.settings.routers or 1)
         self.sharers[Tier.EDGE] = self.room.routers = self.settings.routers_here or 1
@@ -407,7 +408,9 @@
         if item.unfillable:
             return None
         edge = self.pick_edge(item)[0]
-        for source in chain(self.origins, self.ranked(Tier.PARENT, digest(item.request.id))):
+        rest = [*self.origins, *self.ranked(Tier.PARENT, digest(item.request.id))]
+        # One that is skipped comes last: three charges of each router fell to a parent that failed all fills.
+        for source in sorted(rest, key=lambda source: source.skipped):
             if edge is not None and source.entry.name not in item.failed:
                 return edge, source
         return (edge, edge) if edge is not None and not self.origins else None
@@ -506,14 +509,17 @@
         """Whether a server may be used now: not skipped (or due its trial), not too cold for more."""
         if server.skipped and (server.trial is not None or self.now < server.trial_at):
             return False
-        started, work = server.entry.started, self.work[item.kind.name]
-        cold = self.cold.get(server.tier)
-        return cold is None or cold.admits(server.bucket, started, work, item.luck, self.now)
+        cold, work = self.cold.get(server.tier), self.work[item.kind.name]
+        return cold is None or cold.admits(server.bucket, self.started(server), work, item.luck, self.now)
 
     def share_of(self, server: Server) -> float:
         """The share of its capacity that a member can give at least; 1 when warm."""
         cold = self.cold.get(server.tier)
-        return 1.0 if cold is None else cold.share(server.entry.started, self.now)
+        return 1.0 if cold is None else cold.share(self.started(server), self.now)
+
+    def started(self, server: Server) -> float | None:
+        """A member's last start, as told or as believed."""
+        return server.entry.started if server.back_at is None else server.back_at
 
     # --- sending ---
 
@@ -630,7 +636,7 @@
             filled = attempt.fills if event.note is None else event.note in FILLS
             work = self.work[item.kind.name]
             share = filled * (FILL_SHARE if event.note is None else 1.0)
-            self.cold[Tier.EDGE].served(work, self.now)
+            self.cold[Tier.EDGE].served(work, self.now, self.room.used())
             self.cold[Tier.PARENT].served(work * share, self.now)
             if filled:
                 self.succeed(source)
@@ -727,6 +733,12 @@
     def report(self, server: Server, load: dict[str, float]) -> None:
         """A member's own word on its load: where it has room, no belief of ours may say that it is full."""
         if server.tier is Tier.EDGE:
+            if server.skipped and load.get("x0") == 0.0:
+                # Empty after silence: it has started anew, and the list will say so seconds later. At full
+                # pace until then, all routers of a plaza pushed the first one that was back over.
+                server.back_at = self.now
+                self.actions.append(Log(f"{server.entry.name} is back empty"))
+                self.rebuild()
             self.room.heard(server.entry.name, load, self.now)
         if "cpu" not in load:
             return
--- a/paddlequay/net/caches.py
+++ b/paddlequay/net/caches.py
@@ -118,6 +118,7 @@
         self.written: OrderedDict[str, None] = OrderedDict()  # ids, the latest `cache_ids` of them
         self.up = False
         self.silent = False
+        self.once = False  # all that went out on it must not run twice
         self.heard = self.used = pool.now()
         self.read_at = -math.inf  # the last byte, which an accepted connection is not
 
@@ -200,6 +201,7 @@
                 continue
             line = wire.ask(order.id, order_fields(order), len(order.body))
             self.out[attempt.id] = attempt
+            self.once = attempt.once and (self.once or not self.written)
             self.written[attempt.id] = None
             if len(self.written) > self.limits.cache_ids:
                 self.written.popitem(last=False)
@@ -354,9 +356,15 @@
             connection.stream.close()
 
     def sweep(self, now: float) -> None:
-        """Close what has been idle for long, what is silent and empty, and what a gone instance left."""
+        """Close what has been idle for long, what is silent and empty, and what a gone instance left.
+
+        A connection that only charges went to is too old for the next one, which makes its own. Kept for
+        the usual time, those of forty routers filled the origin's table within seconds, and it turned all
+        charges away from then on.
+        """
+        limits = self.pool.limits
         for connection in [c for c in self.connections if c.idle]:
-            idle = now - connection.used > self.pool.limits.cache_idle
+            idle = now - connection.used > (limits.cache_fresh if connection.once else limits.cache_idle)
             if self.gone or idle or connection.silent:
                 connection.stream.close()
 
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -569,3 +569,38 @@
         Router(settings(routers=-1), 1)
     with pytest.raises(ValueError, match="classes"):
         Router(settings(classes=()), 1)
+
+
+def test_a_charge_that_the_origin_refuses_goes_by_no_parent_that_is_skipped() -> None:
+    """join+vast: 63 charges went to a parent that had failed every fill for seconds, and so failed."""
+    driver, ways = Driver(), set()
+    driver.router.servers["parent-1"].skipped = True
+    for key in range(12):
+        first = driver.fetch(key, kind="pays")
+        assert first.target == "origin-0"
+        (second,) = driver.end(first, Outcome.REFUSED)
+        assert isinstance(second, Fetch)
+        ways.add(second.source)
+        driver.end(second, Outcome.SERVED, Note.FILLED_FROM_ORIGIN, attempt=1)
+    assert ways == {"parent-0", "parent-2"}
+    for parent in ("parent-0", "parent-2"):
+        driver.router.servers[parent].skipped = True
+    (last,) = driver.end(driver.fetch(99, kind="pays"), Outcome.REFUSED)
+    assert isinstance(last, Fetch) and last.source.startswith("parent")  # better than none
+
+
+@pytest.mark.parametrize(("x0", "sent"), [(0.0, 0), (0.4, 20), (None, 20)])
+def test_an_edge_that_comes_back_empty_is_cold_before_the_list_says_so(x0: float | None, sent: int) -> None:
+    """zone+vast: the first edge back got its whole plaza's requests, 3.5 times what it could do, and fell."""
+    driver = Driver(members=(EDGES[0], *PARENTS, ORIGIN))
+    server = driver.router.servers["edge-0"]
+    first = driver.fetch(1)
+    server.skipped = True
+    load = (("active", 1.0), ("cpu", 0.1)) + (() if x0 is None else (("x0", x0),))
+    ended = AttemptEnded(first.request, 0, "edge-0", Outcome.SERVED, 0.05, True, Note.FILLED, load=load)
+    driver.router.handle(ended, driver.now)
+    assert not server.skipped
+    to_it = [f for key in range(20) for f in fetches(driver.ask(key)) if f.target == "edge-0"]
+    assert len(to_it) == sent
+    driver.list(replace(EDGES[0], started=driver.now - 16.0))  # the list's word comes before belief
+    assert driver.fetch(50).target == "edge-0"
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -117,6 +117,23 @@
     assert len(set(used)) == 12
 
 
+def test_a_connection_that_only_writes_went_to_ends_once_it_is_too_old_for_the_next(p: Platform) -> None:
+    """disco+vast: forty routers' idle ones filled the origin's table, and it refused every charge."""
+    client, made = p.client(), {}
+    for method, party in (("charge", p.origin), ("video", p.box)):
+        client.ask(method)
+        made[method], words = party.line()
+        made[method].sendall(f"{words[1]} HIT - 1\r\nx\r\n".encode())
+        assert client.answer()[2] is None
+
+    def state(method: str) -> int:
+        return made[method].getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
+
+    established, close_wait = 1, 8  # tcp_states.h
+    until(lambda: state("charge") == close_wait, "the charge's connection is closed")
+    assert state("video") == established
+
+
 def test_many_answers_share_one_connection_in_any_order(p: Platform) -> None:
     client = p.client()
     for number in range(4):
