Fetch from a crowded origin only what can still be in time, by how long fills wait there

Cause: Router.pick_source ends its ladder at the origin whatever state that is in, and Router.send cut fills off from it only while it is skipped, which takes three failures in a row. Each router's few fills are harmless; forty routers' crowd it, and it gets half as much done.

Ruled out: the parent (fills that it held waited 0.04 s throughout), the plazas' links (x1 under 1.5), the edges (0.2 to 0.5 used).

Change: fleet/origin.py keeps the mean wait of fills from the origin over the last second; past half of a request's aim a growing share, past one and a half all of them, ask the parent for what it holds (the wire's 'held') and name the origin no more. The span is the aims of the settings: what waits so long earns next to nothing.

--- a/paddlequay/logic.py
+++ b/paddlequay/logic.py
@@ -14,6 +14,7 @@
 from itertools import chain, islice
 
 from paddlequay.fleet.cold import Bucket, Cold
+from paddlequay.fleet.origin import Waits
 from paddlequay.fleet.room import Room
 from paddlequay.hierarchy.homes import Homes, digest, place
 from paddlequay.interface import (
@@ -176,6 +177,7 @@
     may_have_run: Attempt | None = None
     unfillable: bool = False
     link_full: bool = False
+    held_only: bool = False
     streaming: bool = False
 
     @property
@@ -198,6 +200,7 @@
         self.cold = {Tier.EDGE: Cold(settings.cold_edge), Tier.PARENT: Cold(settings.cold_parent)}
         self.origins: list[Server] = []
         self.room = Room()
+        self.origin_waits = Waits()
         self.open: dict[str, Open] = {}
         self.seen: OrderedDict[tuple[int | None, int | None], Seen] = OrderedDict()
         self.purges: OrderedDict[tuple[str, int | None], float] = OrderedDict()
@@ -482,7 +485,9 @@
             item.link_full = item.unfillable = True  # what the home holds may still do
             return None
         shed = False
-        for source in chain(self.ranked(Tier.PARENT, place(item.request.key)), self.origins):
+        item.held_only = fills and self.origin_waits.sheds(self.aim(item), item.luck, self.now)
+        parents = self.ranked(Tier.PARENT, place(item.request.key))
+        for source in chain(parents, () if item.held_only else self.origins):
             if source.entry.name in item.failed or not self.open_to(source, item):
                 continue
             if not fills or not self.busy(source, item):
@@ -538,7 +543,7 @@
         item.attempts.append(attempt)
         item.may_have_run = item.may_have_run or attempt
         sibling = source is not target and source.tier is Tier.EDGE
-        cut_off = False
+        cut_off = item.held_only and fills and source.tier is Tier.PARENT
         for origin in self.origins:
             if origin.skipped and source.tier is Tier.PARENT and target is not origin:
                 # What parents lack would wait at an origin that does not answer, in places that hits need.
@@ -642,6 +647,8 @@
                 self.succeed(source)
             if event.note is Note.FILLED_FROM_ORIGIN and self.origins:
                 self.succeed(self.origins[0])
+                if event.waited is not None:
+                    self.origin_waits.heard(event.waited, self.now)
             if event.note is Note.HIT and attempt.fills:
                 source.bucket.take(-work)
             # A late answer that did not wait for its fill says nothing of who filled it: one edge that bore
