Shed fills between twice and six times a full link, and fill cold edges at 0.6 of the multiple

Cause: LINK_SPAN began at half over full (fleet/room.py), though a fill is at least twice as fast as a transfer to a client, so that until twice full no client loses anything, and ended at 4, though aims allow twice the sending time and a constant beside; and WHOLE held cold edges to 1.0 of the least share of their capacity, 0.4 of the rule's multiple of 2.5, though words tell that capacity.

Change: the span is 2 to 6, by the settings' reasons above; WHOLE is 0.6 of the rule's multiple, less than the 0.7 of the old pace.

--- a/paddlequay/fleet/cold.py
+++ b/paddlequay/fleet/cold.py
@@ -14,7 +14,7 @@
 
 PACE = 0.7  # of the rule's multiple: what a cold member is sent, as the load borne may near capacity
 WARM_LEAST = 0.75  # of the members count as bearing the load at least: where all are cold, none has shown it
-WHOLE = 1.0  # of its capacity, where members' own words tell that: more would only wait there
+WHOLE = 0.6  # of the multiple, where members' own words tell their capacity: less, as they differ in it
 USED_LEAST = 0.2  # ways out in use, over all members, from which on that can be told
 BURST = 0.25  # of the rule's window: a start is met evenly, not with a burst
 MEMORY_S = 10.0  # memory of the load served by a warm member; longer than a burst
@@ -92,7 +92,7 @@
             return None
         # What served work and used ways out come to does not fall with what is turned away, as the load does.
         whole = self.work / self.used if self.used >= USED_LEAST else 0.0
-        return share * max(PACE * (self.ramp.multiple or 1.0) * self.rate, WHOLE * whole)
+        return share * (self.ramp.multiple or 1.0) * max(PACE * self.rate, WHOLE * whole)
 
     def admits(self, bucket: Bucket, started: float | None, work: float, luck: float, now: float) -> bool:
         """Whether a member may be sent `work` now, by a request's `luck` in [0, 1); yes when it is warm.
--- a/paddlequay/fleet/room.py
+++ b/paddlequay/fleet/room.py
@@ -22,7 +22,9 @@
 EDGE_SPAN = (2.0, 4.0)  # times as long as at full pace: aims allow twice the sending time and a constant
 GAIN = 0.5  # a second, of a lean, for a way out that is used wholly where the others are idle
 LEAN = 0.8  # either way at most: no two kinds of machine are more unlike than by five
-LINK_SPAN = (1.5, 4.0)  # one already uses all of the link; the rest is what waits in it
+# A fill runs at least twice as fast as a transfer to a client: up to twice full the client loses nothing.
+# Aims allow twice the sending time and a constant beside: at three times that long a fill is late by itself.
+LINK_SPAN = (2.0, 6.0)
 PAST_SPAN = (0.5, 1.0)  # for what is kept by no cache: only room that fills leave
 
 
