--- a/paddlequay/fleet/origin.py
+++ b/paddlequay/fleet/origin.py
@@ -24,10 +24,17 @@
     at: float = -math.inf
 
     def heard(self, waited: float, now: float) -> None:
-        """A fill came by way of the origin after a wait."""
+        """A fill came by way of the origin after a wait, or was given up after it for no nearer reason.
+
+        Where only what came counted, nothing told of an origin that let nobody through any more.
+        """
         self.mean += (waited - self.mean) * (1.0 - math.exp(-(now - self.at) / MEMORY_S))
         self.at = now
 
     def sheds(self, aim: float, luck: float, now: float) -> bool:
-        """Whether a request with this aim, by its luck in [0, 1), is not to be fetched from the origin."""
-        return now - self.at <= FRESH_S and luck < past(self.mean / aim, SPAN)
+        """Whether a request with this aim, by its luck in [0, 1), is not to be fetched from the origin.
+
+        What was heard fades, so that after a time in which nothing was sent there not all begin together.
+        """
+        mean = self.mean * math.exp(-(now - self.at) / FRESH_S)
+        return luck < past(mean / aim, SPAN)
--- a/paddlequay/fleet/room.py
+++ b/paddlequay/fleet/room.py
@@ -113,6 +113,11 @@
             return 1.0
         return max(1.0, self.words[name].active / FITS)
 
+    def well(self, name: str, now: float) -> bool:
+        """Whether a cache's own word and the link's tell that neither makes its answers late."""
+        link = now - self.link_at <= FRESH_S and self.link <= LINK_SPAN[0]
+        return link and self.told(name, now) and self.slowness(name, now) <= EDGE_SPAN[0]
+
     def bears(self, name: str, luck: float, now: float) -> bool:
         """Whether a cache by its own word bears a request, with that one's `luck` in [0, 1)."""
         return self.told(name, now) and past(self.slowness(name, now), EDGE_SPAN) <= luck
--- a/paddlequay/logic.py
+++ b/paddlequay/logic.py
@@ -677,6 +677,8 @@
         if event.silent:
             # The connection brought nothing for anybody: no word on the source, nor on anybody's load.
             return self.fail(blamed, True)
+        if event.outcome is Outcome.TIMEOUT and attempt.fills and self.room.well(target.entry.name, self.now):
+            self.origin_waits.heard(event.latency, self.now)
         if event.outcome in (Outcome.TIMEOUT, Outcome.REFUSED):
             self.pace(blamed, True)
         away = cut_off or event.note is Note.SOURCE_UNREACHED
