Believe no wait longer than its answer took, and weigh classes only where one is kept

Found on reading the change again. (1) Router.judge took an answer's lag as it was told: one of 1e300 s, a spoilt answer that reads well, closed the origin to fills for minutes, as the mean fades by the second. Now no wait is longer than its answer took. (2) Router.dear looked for the greatest among the classes that are kept, of which there need be none: an exception, and the request failed. It also walked all classes for each fill where nothing is shed by it; both end at one guard. Each test fails without its mend.

--- a/paddlequay/logic.py
+++ b/paddlequay/logic.py
@@ -412,7 +412,7 @@
             return None
         edge = self.pick_edge(item)[0]
         rest = [*self.origins, *self.ranked(Tier.PARENT, digest(item.request.id))]
-        # One that is skipped comes last: three charges of each router fell to a parent that failed all fills.
+        # One that is skipped comes last: charges fell to a parent that had failed all fills for seconds.
         for source in sorted(rest, key=lambda source: source.skipped):
             if edge is not None and source.entry.name not in item.failed:
                 return edge, source
@@ -442,6 +442,8 @@
 
     def dear(self, item: Open) -> float:
         """The bytes of a request's class for its worth, beside the class kept that has most, in (0, 1]."""
+        if not (self.room.crowd and item.cacheable):
+            return 1.0  # nothing is shed by it, and there may be no class that is kept
         kept = (kind for kind in self.kinds.values() if not kind.uncacheable)
         most = max(self.work[kind.name] / (kind.worth or 1.0) for kind in kept)
         return self.work[item.kind.name] / (item.kind.worth or 1.0) / most
@@ -648,7 +650,8 @@
             if event.note is Note.FILLED_FROM_ORIGIN and self.origins:
                 self.succeed(self.origins[0])
                 if event.waited is not None:
-                    self.origin_waits.heard(event.waited, self.now)
+                    # No wait is longer than its answer took: a spoilt one would close the origin for minutes.
+                    self.origin_waits.heard(min(event.waited, event.latency), self.now)
             if event.note is Note.HIT and attempt.fills:
                 source.bucket.take(-work)
             # A late answer that did not wait for its fill says nothing of who filled it: one edge that bore
--- a/tests/test_origin.py
+++ b/tests/test_origin.py
@@ -53,6 +53,17 @@
         assert isinstance(last, Refuse)
 
 
+def test_a_wait_longer_than_its_answer_took_is_not_believed() -> None:
+    """`lag` is what a cache writes: taken as told, 1e300 s kept fills from the origin for minutes."""
+    driver = Driver(notes=True)
+    fetch = driver.fetch(1)
+    ended = AttemptEnded(
+        fetch.request, 0, fetch.target, Outcome.SERVED, 0.05, True, Note.FILLED_FROM_ORIGIN, waited=1e300
+    )
+    driver.router.handle(ended, driver.now)
+    assert not driver.fetch(2).only_held
+
+
 def test_what_cannot_be_kept_is_not_held_back_and_old_waits_are_forgotten() -> None:
     driver = crowded(0.9)
     (charge,) = driver.ask(5, kind="pays")
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -221,6 +221,15 @@
     assert dear == {"pages": pytest.approx(0.25), "films": 1.0}
 
 
+def test_where_no_class_is_kept_a_busy_edge_is_no_error() -> None:
+    """What has most bytes was looked for among the classes kept, of which there need be none."""
+    driver = Driver(members=EDGES, classes=(UNSAFE,), routers=194, routers_here=14, direct=False)
+    for server in driver.router.servers.values():
+        server.out, server.late = 9.0, 1.0
+    (answer,) = driver.ask(1, kind="pays")
+    assert isinstance(answer, Refuse)
+
+
 @pytest.mark.parametrize(("x0", "looks"), [(0.0, 0), (1.0, 30)])
 def test_at_a_full_link_a_cold_edge_is_asked_only_where_it_may_hold_something(x0: float, looks: int) -> None:
     """A look takes of what a cold edge bears as much as a fill: empty ones had nothing left for fills."""
