Write down what the parts of the cluster tell each other

Need: shared limits and verdicts, channels and tables are built as parts beside each other; what they say to each other stands first. cluster/types.py has the actions and how a part is driven, cluster/notes.py the notes between routers, cluster/settings.py what an installation sets.

--- /dev/null
+++ b/paddlequay/cluster/settings.py
@@ -0,0 +1,66 @@
+"""What an installation sets of the cluster, as the parts take it; `schema/cluster.py` reads it from a file."""
+
+from dataclasses import dataclass
+from enum import Enum
+from pathlib import Path
+
+from paddlequay.cluster.types import Bounds, Peer
+
+
+class Mode(Enum):
+    """What a limit does where its holder cannot be reached."""
+
+    STRICT = "strict"  # never over: a router that is cut off has its floor
+    OPEN = "open"  # service first: it goes on with its last share, so that the whole is over by a stated multiple
+
+
+class By(Enum):
+    """What a limit is kept for, one of each apart."""
+
+    CLASS = "class"
+    TENANT = "tenant"
+    GROUP = "group"
+    SOURCE = "source"  # a parent or the origin
+    MEMBER = "member"  # a cache
+
+
+@dataclass(frozen=True, slots=True)
+class LimitRule:
+    """A limit over all routers. Either `rate` (a second, with `burst`) or `at_once` is told."""
+
+    name: str
+    by: By
+    match: str  # of what: a class, a tenant, a group's number, a member's name or kind; "*": each of them
+    rate: float | None = None
+    burst: float = 1.0
+    at_once: int | None = None
+    mode: Mode = Mode.STRICT
+    over: float = 2.0  # with OPEN: the multiple of the limit that is never passed, whoever is cut off
+    floor: float = 0.2  # share of the limit that is divided evenly among all routers, whatever they need
+
+
+@dataclass(frozen=True, slots=True)
+class ChannelRule:
+    """Which requests make live channels, and how they are owned."""
+
+    classes: tuple[str, ...]
+    bundles: int = 64  # channels share leases: so many for each plaza
+    ahead: int = 1  # parts that the owner fills ahead of the last one asked for
+    live_s: float = 3.0  # without a read for so long, a channel is none any more
+    most: int = 4096  # channels remembered
+    move_above: float = 1.5  # of the mean load of the plaza's owners: above it an owner gives a bundle away
+
+
+@dataclass(frozen=True, slots=True)
+class ClusterSettings:
+    """One router's settings of the cluster."""
+
+    name: str  # of the installation: datagrams of others are foreign
+    acceptors: tuple[Peer, ...]
+    bounds: Bounds = Bounds()
+    bytes_per_s: int = 16_000  # sent by this router at most, whatever happens; an address for all counts as all
+    pings: float = 1.0  # a second
+    verdicts: bool = True
+    limits: tuple[LimitRule, ...] = ()
+    channels: ChannelRule | None = None
+    rules: Path | None = None  # placement rules
