--- a/paddlequay/cluster/settings.py
+++ b/paddlequay/cluster/settings.py
@@ -1,6 +1,6 @@
-"""What an installation sets of the cluster, as the parts take it; `schema/cluster.py` reads it from a file."""
+"""What an installation sets of the cluster, as its parts take it; `schema/cluster.py` reads the file."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 from pathlib import Path
 
@@ -11,7 +11,7 @@
     """What a limit does where its holder cannot be reached."""
 
     STRICT = "strict"  # never over: a router that is cut off has its floor
-    OPEN = "open"  # service first: it goes on with its last share, so that the whole is over by a stated multiple
+    OPEN = "open"  # service first: it goes on with its last share, over the whole by a stated multiple
 
 
 class By(Enum):
@@ -57,8 +57,8 @@
 
     name: str  # of the installation: datagrams of others are foreign
     acceptors: tuple[Peer, ...]
-    bounds: Bounds = Bounds()
-    bytes_per_s: int = 16_000  # sent by this router at most, whatever happens; an address for all counts as all
+    bounds: Bounds = field(default_factory=Bounds)
+    bytes_per_s: int = 16_000  # sent by this router at most; what goes to all counts for each receiver
     pings: float = 1.0  # a second
     verdicts: bool = True
     limits: tuple[LimitRule, ...] = ()
