--- a/paddlequay/lab/plaza.py
+++ b/paddlequay/lab/plaza.py
@@ -10,7 +10,7 @@
 import sys
 import time
 import urllib.request
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any
@@ -40,6 +40,7 @@
     seed: int = 1
     discovery: str = ""  # settings of the routers' sources of members, in place of the bulletin alone
     listed: bool = True  # whether the bulletin names the boxes
+    environment: Mapping[str, str] = field(default_factory=dict)  # of the routers, beside the platform's
     root: Path = ROOT  # whose program the routers run: another one is an earlier version to compare with
 
 
@@ -75,6 +76,7 @@
         self.boxes: list[Box] = []
         self.tiers: dict[str, Tier] = {}
         self.routers: list[asyncio.subprocess.Process] = []
+        self.consoles: dict[int, int] = {}
         self.shape = Shape()
         self.listed: dict[str, dict[str, Any]] = {}
         self.killed: list[tuple[float, str]] = []
@@ -138,12 +140,13 @@
         path.write_text(json.dumps(self.config(number, address)))
         temporary = self.folder / f"router-{number}.tmp"
         temporary.mkdir(exist_ok=True)
-        console = free_port()
+        console = self.consoles[number] = free_port()
         told = {
             "ROUTER_CONFIG": str(path),
             "TMPDIR": str(temporary),
             "ROUTER_CONSOLE": f"127.0.0.1:{console}",
         }
+        told |= self.plan.environment
         if self.plan.discovery:
             (self.folder / "discovery.txtpb").write_text(self.plan.discovery)
             told["PADDLEQUAY_DISCOVERY"] = str(self.folder / "discovery.txtpb")
