Split the decisions into a package by concern, and find packages for installing

It is now policy/, a file for each concern, along the state each part owns: members, health, limits, hotness, latency, the ladder, attempts, answers, refusals, and a short router. Records and bounded tables that decide nothing are records.py and tables.py; homes of objects move to placement/, so that no import of the policy goes up into hierarchy/.

The list of packages in pyproject.toml missed discovery and fleet, so that an installed copy could not start: setuptools finds them, and a test builds a copy and imports every package.

--- a/paddlequay/__main__.py
+++ b/paddlequay/__main__.py
@@ -18,7 +18,6 @@
 from paddlequay.counters import Counters
 from paddlequay.exchange import Exchange
 from paddlequay.load import OwnLoad
-from paddlequay.logic import Router
 from paddlequay.net import door
 from paddlequay.net.bulletin import Follower
 from paddlequay.net.caches import Pool
@@ -27,6 +26,7 @@
 from paddlequay.net.scheduler import LoopScheduler
 from paddlequay.net.twin import Twin
 from paddlequay.operation import Operation
+from paddlequay.policy import Router
 from paddlequay.protocol import bulletin
 from paddlequay.shares import Held, Shares
 
--- a/paddlequay/adapter.py
+++ b/paddlequay/adapter.py
@@ -29,7 +29,7 @@
     Subscribe,
     TimerDue,
 )
-from paddlequay.logic import Router
+from paddlequay.policy import Router
 from paddlequay.settings import SettingsError, settings_from
 
 T = TypeVar("T")
--- a/paddlequay/exchange.py
+++ b/paddlequay/exchange.py
@@ -40,8 +40,8 @@
     Surrender,
     TimerDue,
 )
-from paddlequay.logic import Router
 from paddlequay.operation import OUT, Operation
+from paddlequay.policy import Router
 from paddlequay.shares import Shares
 
 LOGGER = logging.getLogger(__name__)
--- a/paddlequay/hierarchy/climb.py
+++ b/paddlequay/hierarchy/climb.py
@@ -1,7 +1,7 @@
 """The ladder of a node in the middle, climbed by the decision module itself.
 
 The node names whom a fill may ask, and in which order; whether that one may be used now is for
-`logic.Router`: failures, trials, limits, the pace of cold members, time-outs and purges are what they are
+`policy.Router`: failures, trials, limits, the pace of cold members, time-outs and purges are what they are
 for a router. So a node is a front of the same exchange, and no second set of rules for health grows beside
 the first.
 """
@@ -22,7 +22,8 @@
     Outcome,
     Settings,
 )
-from paddlequay.logic import Attempt, Open, Router, Server, Tier
+from paddlequay.policy import Router
+from paddlequay.records import Attempt, Open, Server
 
 NODE_KIND, STORE_KIND = "node", "store"
 LIMIT_FIRST = 200.0  # out at one member by all of a group: a node serves hundreds at once from memory
@@ -49,7 +50,7 @@
 
 
 class Climber(Router):
-    """`logic.Router` with the rungs of a node in place of the plain ladder."""
+    """`policy.Router` with the rungs of a node in place of the plain ladder."""
 
     def __init__(self, settings: Settings, seed: int, node: Node) -> None:
         super().__init__(settings, seed)
@@ -58,30 +59,30 @@
         self.hints: dict[str, str] = {}
 
     def on_members(self, event: MembersChanged) -> None:
-        before = set(self.servers)
+        servers = self.know.members.servers
+        before = set(servers)
         super().on_members(event)
-        for name in self.servers.keys() - before:
-            self.servers[name].limit = LIMIT_FIRST
+        new = [server for name, server in servers.items() if name not in before]
+        self.know.limits.inherit(new, {f"limit {server.entry.name}": LIMIT_FIRST for server in new})
 
-    def rebuild(self) -> None:
-        super().rebuild()
-        askers = max(1, len(self.node.moves.members))
-        self.sharers[Tier.PARENT] = self.sharers[Tier.ORIGIN] = askers
+    def spread(self) -> None:
+        """All of the group ask the same members."""
+        self.know.limits.spread(1, 1, 1, askers=max(1, len(self.node.moves.members)))
 
     def advance(self, item: Open) -> None:
         """The next rung that may be used now. What is busy sheds: handed on, it would be a second fill."""
         name = item.request.id
         number = item.request.fill
-        if number is None or (item.attempts and not self.may_repeat(item)):
+        if number is None or (item.attempts and not self.attempts.may_repeat(item, self.now)):
             return self.give_up(item, "spent")
         hint = self.hints.pop(name, "")
         while (step := self.node.step(number, hint)) is not None:
             hint = ""
             rung, _ = self.now_on[name] = step
-            server = self.servers.get(rung.target)
-            if server is None or not server.ready or not self.open_to(server, item):
+            server = self.know.members.servers.get(rung.target)
+            if server is None or not server.ready or not self.ladder.open_to(server, item, self.now):
                 continue
-            if self.busy(server, item):
+            if self.know.limits.busy(server, item, self.now):
                 if rung.held:
                     continue
                 return self.give_up(item, "edge_busy")
@@ -91,21 +92,16 @@
 
     def ask(self, item: Open, server: Server, rung: Rung) -> None:
         """One attempt; a node is allowed to fill by naming the store as the source, a look names none."""
-        attempt = Attempt(server, server, self.now, False)
-        server.bucket.take(self.work[item.kind.name])
-        if server.skipped and server.trial is None:
-            server.trial = item.request.id
-        server.out += item.cost
-        item.attempts.append(attempt)
-        item.may_have_run = item.may_have_run or attempt
-        through = self.origins[0].entry.name if self.origins and not rung.store else rung.target
+        self.attempts.begin(item, Attempt(server, server, self.now, False))
+        origins = self.know.members.origins
+        through = origins[0].entry.name if origins and not rung.store else rung.target
         self.actions.append(
             Fetch(
                 request=item.request.id,
                 target=rung.target,
                 source=rung.target if rung.held else through,
                 keep=1,
-                timeout=self.timeout(item),
+                timeout=self.know.latency.timeout(item, self.now),
                 max_age=self.age(item),
                 join=True,
                 only_held=rung.held,
--- a/paddlequay/hierarchy/moves.py
+++ b/paddlequay/hierarchy/moves.py
@@ -15,8 +15,8 @@
 from dataclasses import dataclass
 from typing import Any
 
-from paddlequay.hierarchy.homes import Homes
 from paddlequay.hierarchy.shape import Shape
+from paddlequay.placement.homes import Homes
 
 EPOCHS_MOST = 8  # earlier shapes of a group that are looked through
 LOOKS_MOST = 2  # earlier homes that one fill asks,
--- a/paddlequay/hierarchy/node.py
+++ b/paddlequay/hierarchy/node.py
@@ -14,12 +14,12 @@
 from typing import Any
 
 from paddlequay.hierarchy.copies import Copies, Copy, Place, Purges
-from paddlequay.hierarchy.homes import arrival, digest, key_of, place, slot_of
 from paddlequay.hierarchy.leases import Lease, Leases, May, Rung, Toward
 from paddlequay.hierarchy.moves import MoveLimits, Moves
 from paddlequay.hierarchy.shape import Shape
 from paddlequay.hierarchy.trail import HOPS_MOST, Trail
 from paddlequay.interface import Note
+from paddlequay.placement.homes import arrival, digest, key_of, place, slot_of
 
 
 class Word(Enum):
--- a/paddlequay/interface.py
+++ b/paddlequay/interface.py
@@ -1,7 +1,7 @@
 """The project's own interface: what a router is told (settings, events) and what it asks for (actions).
 
 Times are seconds; `now` is any clock that does not go back. `None` always means "not told", never a default:
-what to do without a value is for `paddlequay.logic` to decide.
+what to do without a value is for `paddlequay.policy` to decide.
 """
 
 from collections.abc import Mapping
--- a/paddlequay/lab/fleet.py
+++ b/paddlequay/lab/fleet.py
@@ -8,12 +8,12 @@
 
 import numpy as np
 
-from paddlequay.hierarchy.homes import Homes, key_of
 from paddlequay.hierarchy.moves import MoveLimits
 from paddlequay.hierarchy.node import NodeLimits
 from paddlequay.hierarchy.shape import Delta, Node, Shape, ShapeLimits, next_shape
 from paddlequay.lab.claims import Results, Setup
 from paddlequay.lab.world import STORE, World
+from paddlequay.placement.homes import Homes, key_of
 
 GROUPS, UPPER, ROUTERS, OBJECTS = 20, 100, 200, 1_000_000
 WARM_AFTER, START = 20.0, 0.062
--- a/paddlequay/lab/homes.py
+++ b/paddlequay/lab/homes.py
@@ -12,15 +12,15 @@
 
 import numpy as np
 
-from paddlequay.hierarchy.homes import Homes, arrival, digest, slot_of
 from paddlequay.lab.claims import Results, Setup
+from paddlequay.placement.homes import Homes, arrival, digest, slot_of
 
 SIZES = ((4, 3), (60, 20), (1000, 200))
 # Run in the program that is measured, this one's or an earlier one's: names that both have.
 COST = """
 import json, random, sys, time
 from paddlequay.interface import *
-from paddlequay.logic import Router
+from paddlequay.adapter import Router
 
 edges, parents, count, seed = map(int, sys.argv[1:])
 kinds = (RequestClass("v", 0.6, 3.0, Effect.SAFE),)
--- a/paddlequay/net/tier.py
+++ b/paddlequay/net/tier.py
@@ -15,13 +15,13 @@
 from paddlequay.exchange import Ask, Exchange, Reply, Verdict
 from paddlequay.hierarchy.climb import Climber
 from paddlequay.hierarchy.copies import Copy
-from paddlequay.hierarchy.homes import key_of
 from paddlequay.hierarchy.node import Action, Answer, Claim, Fill, Got, Meet, Node, Want, Word
 from paddlequay.hierarchy.shape import NAME
 from paddlequay.hierarchy.trail import Keyring, TrailError
 from paddlequay.interface import Member, Note, RequestClass
 from paddlequay.net.caches import Pool
 from paddlequay.net.door import on_connection
+from paddlequay.placement.homes import key_of
 from paddlequay.protocol import serving as wire
 from paddlequay.protocol.bulletin import Listed
 from paddlequay.protocol.caches import Buffer, MalformedError
--- /dev/null
+++ b/paddlequay/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Where objects belong among members, for routers and tiers alike."""
--- /dev/null
+++ b/tests/driver.py
@@ -0,0 +1,88 @@
+"""A router driven by scripted events: its list, its classes, and short ways to say what happens."""
+
+from paddlequay.interface import (
+    Action,
+    AttemptEnded,
+    Effect,
+    Fail,
+    Fetch,
+    Member,
+    MembersChanged,
+    Note,
+    Outcome,
+    Ramp,
+    Refuse,
+    Request,
+    RequestClass,
+    Settings,
+    State,
+)
+from paddlequay.policy import Router
+
+SAFE = RequestClass("pages", aim=0.3, deadline=2.5, effect=Effect.SAFE, fresh=8.0, grace=30.0)
+KEYED = RequestClass(
+    "orders", 0.6, 3.0, Effect.KEYED, repeat_group="all", repeat_window=2.0, uncacheable=True
+)
+UNSAFE = RequestClass("pays", aim=0.6, deadline=3.0, effect=Effect.UNSAFE, uncacheable=True)
+EDGES = tuple(Member(f"edge-{n}", "here", "cache", 0, State.READY) for n in range(4))
+AWAY = Member("away-0", "there", "cache", 1, State.READY)
+PARENTS = tuple(Member(f"parent-{n}", "hub", "parent", 0, State.READY) for n in range(3))
+ORIGIN = Member("origin-0", "hub", "origin", 0, State.READY)
+EVERYBODY = (*EDGES, AWAY, *PARENTS, ORIGIN)
+
+
+def settings(**changes: object) -> Settings:
+    values: dict[str, object] = {
+        "zone": "here",
+        "classes": (SAFE, KEYED, UNSAFE),
+        "routers": 2,
+        "parent_kind": "parent",
+        "origin_kind": "origin",
+        "siblings": "any",
+        "direct": True,
+        "joins": True,
+        "can_cancel": True,
+        "max_attempts": 8,
+        "max_retry_after": 2.0,
+        "cold_edge": Ramp(0.25, 16.0, 2.5, 3.0),
+        "cold_parent": Ramp(0.1, 16.0, 2.0, 3.0),
+        "purge_done": 6.0,
+    }
+    return Settings(**(values | changes))  # type: ignore[arg-type]
+
+
+class Driver:
+    """A router with its list, and short ways to say what happens to it."""
+
+    def __init__(self, members: tuple[Member, ...] = EVERYBODY, **changes: object) -> None:
+        self.router = Router(settings(**changes), seed=1)
+        self.now = 100.0
+        self.count = 0
+        self.started = self.router.handle(MembersChanged(members, full=True), self.now)
+
+    def ask(self, key: int = 7, part: int = 0, kind: str = "pages", group: int = 1) -> list[Action]:
+        self.count += 1
+        request = Request(f"r{self.count}", kind, 2.0, key, part, group)
+        return self.router.handle(request, self.now)
+
+    def fetch(self, key: int = 7, part: int = 0, kind: str = "pages") -> Fetch:
+        (action,) = self.ask(key, part, kind)
+        assert isinstance(action, Fetch)
+        return action
+
+    def end(
+        self, fetch: Fetch, outcome: Outcome, note: Note | None = None, attempt: int = 0
+    ) -> list[Action]:
+        final = outcome is Outcome.SERVED
+        event = AttemptEnded(fetch.request, attempt, fetch.target, outcome, 0.05, final, note)
+        return self.router.handle(event, self.now)
+
+    def serve(self, fetch: Fetch, note: Note | None = None) -> None:
+        assert not any(isinstance(a, Fetch | Refuse | Fail) for a in self.end(fetch, Outcome.SERVED, note))
+
+    def list(self, *members: Member, full: bool = False) -> list[Action]:
+        return self.router.handle(MembersChanged(members, full), self.now)
+
+
+def fetches(actions: list[Action]) -> list[Fetch]:
+    return [action for action in actions if isinstance(action, Fetch)]
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -19,16 +19,11 @@
     Settings,
     State,
 )
-from paddlequay.logic import (
-    LIMIT_CHANCE,
-    LIMIT_START,
-    OBJECT_AGE_S,
-    REPORT_AGE_S,
-    SKIP_FAILURES,
-    TRIAL_DELAY_S,
-    Router,
-    Tier,
-)
+from paddlequay.policy import Router
+from paddlequay.policy.health import SKIP_FAILURES, TRIAL_DELAY_S
+from paddlequay.policy.limits import LIMIT_CHANCE, LIMIT_START, REPORT_AGE_S
+from paddlequay.records import Tier
+from paddlequay.tables import OBJECT_AGE_S
 
 PAGES = RequestClass("pages", 0.3, 2.5, Effect.SAFE, aim_stretch=2.0, fresh=8.0, grace=30.0)
 WORK = 0.15  # as the module takes it to be before it has seen a size: each request costs 1
@@ -151,7 +146,7 @@
         for again in end(router, fetch, Outcome.REFUSED, 2.0 + number):
             assert again.source == fetch.source
             router.handle(ClientGone(again.request), 2.0 + number)
-    assert not any(server.skipped for server in router.servers.values())
+    assert not any(server.skipped for server in router.know.members.servers.values())
 
 
 def test_without_notes_a_refusal_names_the_source_and_the_next_parent_is_asked() -> None:
@@ -188,10 +183,10 @@
     (router,) = fleet(1, members())
     (fetch,) = ask(router, "r1", 5, 2.0)
     end(router, fetch, Outcome.SERVED, 2.1, Note.FILLED)
-    seen = next(iter(router.seen.values()))
-    assert router.held(seen) == [fetch.target]
+    seen = next(iter(router.know.hotness.table.values()))
+    assert router.know.hotness.held(seen, router.know.members.servers, 2.2) == [fetch.target]
     router.handle(MembersChanged((Member(fetch.target, "here", "cache", 0, State.READY, None, 2.2),)), 2.2)
-    assert router.held(seen) == []
+    assert router.know.hotness.held(seen, router.know.members.servers, 2.2) == []
 
 
 def test_members_that_leave_do_not_raise_what_the_rest_may_bear() -> None:
@@ -202,10 +197,10 @@
         end(router, fetch, Outcome.SERVED, 2.0 + number / 40, Note.HIT)
     cold = Member("edge-0", "here", "cache", 0, State.READY, None, 12.0)
     router.handle(MembersChanged((cold,)), 12.0)
-    before = router.cold[Tier.EDGE].pace(12.0, 12.0)
+    before = router.know.members.cold[Tier.EDGE].pace(12.0, 12.0)
     gone = tuple(Member(f"edge-{n}", state=State.GONE) for n in range(1, 4))
     router.handle(MembersChanged(gone), 12.0)
-    assert before and router.cold[Tier.EDGE].pace(12.0, 12.0) == before
+    assert before and router.know.members.cold[Tier.EDGE].pace(12.0, 12.0) == before
 
 
 def test_an_odd_count_of_routers_is_no_error() -> None:
@@ -222,4 +217,4 @@
     for number in range(400):
         for fetch in ask(router, f"r{number}", number, 2.0 + number):
             end(router, fetch, Outcome.SERVED, 2.0 + number, Note.HIT)
-    assert len(router.seen) <= OBJECT_AGE_S + 2
+    assert len(router.know.hotness.table) <= OBJECT_AGE_S + 2
--- a/tests/test_homes.py
+++ b/tests/test_homes.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from paddlequay.hierarchy.homes import CHANGES_MOST, DEPTH, Homes, arrival, digest, slot_of
+from paddlequay.placement.homes import CHANGES_MOST, DEPTH, Homes, arrival, digest, slot_of
 
 RNG = random.Random(7)
 KEYS = [RNG.getrandbits(64) for _ in range(4000)]
@@ -84,7 +84,7 @@
 
 
 def test_what_is_remembered_is_bounded_and_a_long_absence_is_no_harm(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr("paddlequay.hierarchy.homes.REMEMBERED_MOST", 64)
+    monkeypatch.setattr("paddlequay.placement.homes.REMEMBERED_MOST", 64)
     homes = homes_of(30)
     for key in KEYS[:500]:
         homes.home(key)
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -1,15 +1,19 @@
 """The size limits that the users set."""
 
 import re
+import tomllib
 from pathlib import Path
 
 ROOT = Path(__file__).parent.parent
 
 
-def test_the_module_stays_within_its_lines_and_names_its_interface_first() -> None:
-    lines = (ROOT / "paddlequay" / "logic.py").read_text().splitlines()
-    assert sum(bool(line.strip()) for line in lines) <= 750
-    assert "paddlequay/interface.py" in lines[0]
+def test_the_decisions_stay_within_their_lines_and_are_all_named_for_deployment() -> None:
+    files = sorted(ROOT.glob("paddlequay/policy/*.py"))
+    texts = {path: path.read_text().splitlines() for path in files}
+    assert sum(bool(line.strip()) for lines in texts.values() for line in lines) <= 750
+    assert "paddlequay/interface.py" in texts[ROOT / "paddlequay/policy/__init__.py"][0]
+    named = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["policy"]
+    assert named == [str(path.relative_to(ROOT)) for path in files]
 
 
 def test_lines_are_at_most_110_characters() -> None:
--- a/tests/test_origin.py
+++ b/tests/test_origin.py
@@ -1,7 +1,7 @@
 """A crowded origin, seen by the waits of fills that came from it: pure, without sockets."""
 
 import pytest
-from test_logic import EDGES, ORIGIN, PARENTS, Driver
+from driver import EDGES, ORIGIN, PARENTS, Driver
 
 from paddlequay.fleet.origin import MEMORY_S, SPAN, Waits
 from paddlequay.fleet.room import FRESH_S
@@ -94,14 +94,14 @@
 
     def say() -> None:
         for edge in EDGES:
-            driver.router.room.heard(edge.name, {"active": 1.0, "cpu": 0.2, "x1": x1}, driver.now)
+            driver.router.know.room.heard(edge.name, {"active": 1.0, "cpu": 0.2, "x1": x1}, driver.now)
 
     for key in range(100, 110):
-        driver.router.room.link_at = -9.0  # so that fills go out whatever the link
+        driver.router.know.room.link_at = -9.0  # so that fills go out whatever the link
         fetch = driver.fetch(key)
         say()
         ended = AttemptEnded(fetch.request, 0, fetch.target, Outcome.TIMEOUT, 0.9)
         driver.router.handle(ended, driver.now)
         driver.router.handle(ClientGone(fetch.request), driver.now)
         driver.now += 0.5
-    assert driver.router.origin_waits.sheds(0.3, 0.5, driver.now) == held
+    assert driver.router.know.origin_waits.sheds(0.3, 0.5, driver.now) == held
--- /dev/null
+++ b/tests/test_policy_attempts.py
@@ -0,0 +1,72 @@
+"""Further attempts, their budget, and age limits."""
+
+import pytest
+from driver import Driver, fetches
+
+from paddlequay.interface import ClientGone, Fail, Fetch, Note, Outcome, Purged, Refuse
+from paddlequay.policy.attempts import BUDGET_RESERVE, BUDGET_SHARE
+from paddlequay.tables import PURGES_MOST
+
+
+def test_what_a_lost_connection_ended_is_sent_once_more_beyond_the_budget() -> None:
+    """garble+fleet: thirty requests on one connection used up the budget, and the rest were refused."""
+    driver = Driver()
+    driver.router.attempts.budget = 0.0
+    (again,) = fetches(driver.end(driver.fetch(), Outcome.RESET))
+    assert again.source != again.target
+    driver.router.attempts.budget = 0.0
+    (look,) = fetches(driver.end(again, Outcome.RESET, attempt=1))
+    assert look.source == look.target
+
+
+def test_a_purge_limits_the_age_until_all_copies_are_cleared() -> None:
+    driver = Driver()
+    driver.router.handle(Purged(age=0.2, group=1), driver.now)
+    driver.now += 1
+    assert driver.fetch().max_age == pytest.approx(1.2)
+    driver.now += 6
+    assert driver.fetch().max_age is None
+
+
+def test_more_purges_than_the_table_holds_bind_every_object() -> None:
+    driver = Driver()
+    for key in range(PURGES_MOST + 1):
+        driver.router.handle(Purged(age=0.1, key=1000 + key), driver.now)
+    assert len(driver.router.know.purges.table) == PURGES_MOST
+    assert driver.fetch().max_age == pytest.approx(0.1)
+
+
+def test_an_unsafe_request_that_may_have_run_fails_and_is_not_sent_again() -> None:
+    driver = Driver()
+    actions = driver.end(driver.fetch(kind="pays"), Outcome.RESET)
+    assert [type(action) for action in actions if not isinstance(action, Fetch)] == [Fail]
+    assert not fetches(actions)
+
+
+def test_an_unsafe_request_that_did_not_run_is_sent_again() -> None:
+    driver = Driver()
+    assert fetches(driver.end(driver.fetch(kind="pays"), Outcome.UNREACHED))
+
+
+def test_a_keyed_request_is_repeated_inside_its_window_only() -> None:
+    driver = Driver()
+    fetch = driver.fetch(kind="orders")
+    driver.now += 0.5
+    (again,) = fetches(driver.end(fetch, Outcome.RESET))
+    driver.now += 1.45
+    actions = driver.end(again, Outcome.RESET, attempt=1)
+    assert not fetches(actions) and any(isinstance(action, Refuse) for action in actions)
+
+
+def test_further_attempts_end_with_their_budget_but_for_one_look_at_what_is_held() -> None:
+    driver = Driver()
+    again = []
+    for key in range(100):
+        more = fetches(driver.end(driver.fetch(key), Outcome.MISS, Note.SOURCE_LACKS))
+        again += more
+        for fetch in more:
+            driver.router.handle(ClientGone(fetch.request), driver.now)
+            driver.end(fetch, Outcome.CANCELLED, attempt=1)
+    fills = [fetch for fetch in again if fetch.source != fetch.target]
+    assert len(fills) <= BUDGET_RESERVE + 100 * BUDGET_SHARE
+    assert len(again) <= 100
--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -23,7 +23,7 @@
     Settings,
     State,
 )
-from paddlequay.logic import Router
+from paddlequay.policy import Router
 
 WINDOW = 1.5
 CLASSES = (
@@ -199,4 +199,4 @@
     world.expire()
     router = world.router
     assert not router.open
-    assert all(server.out < 1e-6 and server.trial is None for server in router.servers.values())
+    assert all(server.out < 1e-6 and server.trial is None for server in router.know.members.servers.values())
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -6,14 +6,14 @@
 from dataclasses import replace
 
 import pytest
+from driver import EDGES, ORIGIN, PARENTS, SAFE, UNSAFE, Driver
 from hypothesis import given
 from hypothesis import strategies as st
-from test_logic import EDGES, ORIGIN, PARENTS, SAFE, UNSAFE, Driver
 
 from paddlequay.fleet.room import EDGE_SPAN, FITS, FRESH_S, LEAN, LINK_SPAN, Room, past
-from paddlequay.hierarchy.homes import Homes, digest
 from paddlequay.interface import AttemptEnded, Fetch, Note, Outcome, Refuse
-from paddlequay.logic import Tier
+from paddlequay.placement.homes import Homes, digest
+from paddlequay.records import Tier
 
 IDLE = {"active": 2.0, "cpu": 0.2, "x1": 0.3}
 FULL_LINK = IDLE | {"x1": 2 * LINK_SPAN[1]}
@@ -152,10 +152,10 @@
 def test_words_of_members_that_have_gone_are_not_kept() -> None:
     driver = crowd()
     say(driver, IDLE)
-    assert len(driver.router.room.words) == len(EDGES)
+    assert len(driver.router.know.room.words) == len(EDGES)
     for edge in EDGES:
-        driver.router.drop(edge.name)
-    assert not driver.router.room.words
+        driver.router.know.members.drop(edge.name)
+    assert not driver.router.know.room.words
 
 
 def test_routers_that_heard_one_word_shed_the_same_share_together() -> None:
@@ -184,10 +184,10 @@
     """A plaza all of whose edges came back empty a moment ago, and say so: nothing is saved up for them."""
     driver = Driver(members=(*EDGES, *PARENTS, ORIGIN), routers=194, routers_here=14)
     for edge in EDGES:
-        driver.router.room.heard(edge.name, IDLE | {"x1": x1, "x0": x0}, driver.now)
+        driver.router.know.room.heard(edge.name, IDLE | {"x1": x1, "x0": x0}, driver.now)
     driver.list(*(replace(edge, started=driver.now) for edge in EDGES))
     for edge in EDGES:
-        driver.router.room.heard(edge.name, IDLE | {"x1": x1, "x0": x0}, driver.now)
+        driver.router.know.room.heard(edge.name, IDLE | {"x1": x1, "x0": x0}, driver.now)
     return driver
 
 
@@ -213,18 +213,18 @@
     assert all(room.fills(luck / 10, 1.0, dear=LINK_SPAN[0] / FULL_LINK["x1"]) for luck in range(10))
     classes = (SAFE, replace(SAFE, name="films", worth=2.0), UNSAFE)
     driver, dear = Driver(classes=classes, routers=194, routers_here=14), {}
-    driver.router.work |= {"pages": 0.1, "films": 0.8, "pays": 9.0}
+    driver.router.know.latency.work |= {"pages": 0.1, "films": 0.8, "pays": 9.0}
     for kind in ("pages", "films"):
         (fetch,) = driver.ask(1, kind=kind)
         assert isinstance(fetch, Fetch)
-        dear[kind] = driver.router.dear(driver.router.open[fetch.request])
+        dear[kind] = driver.router.ladder.dear(driver.router.open[fetch.request])
     assert dear == {"pages": pytest.approx(0.25), "films": 1.0}
 
 
 def test_where_no_class_is_kept_a_busy_edge_is_no_error() -> None:
     """What has most bytes was looked for among the classes kept, of which there need be none."""
     driver = Driver(members=EDGES, classes=(UNSAFE,), routers=194, routers_here=14, direct=False)
-    for server in driver.router.servers.values():
+    for server in driver.router.know.members.servers.values():
         server.out, server.late = 9.0, 1.0
     (answer,) = driver.ask(1, kind="pays")
     assert isinstance(answer, Refuse)
@@ -234,10 +234,10 @@
 def test_at_a_full_link_a_cold_edge_is_asked_only_where_it_may_hold_something(x0: float, looks: int) -> None:
     """A look takes of what a cold edge bears as much as a fill: empty ones had nothing left for fills."""
     driver = lost_zone(FULL_LINK["x1"], x0)
-    driver.router.cold[Tier.EDGE].rate = 100.0
+    driver.router.know.members.cold[Tier.EDGE].rate = 100.0
     driver.ask(99)  # from the first request on work is saved up for them
     driver.now += 1.0
     for edge in EDGES:
-        driver.router.room.heard(edge.name, FULL_LINK | {"x0": x0}, driver.now)
+        driver.router.know.room.heard(edge.name, FULL_LINK | {"x0": x0}, driver.now)
     fetches = [each for key in range(30) for each in driver.ask(key) if isinstance(each, Fetch)]
     assert len(fetches) == looks and all(each.target == each.source for each in fetches)
