Read and check the cluster's settings from a file of the installation

Need: limits, bounds and who votes on leases are set alike at all routers. A third role of the settings file, read by schema/cluster.py: each error names file, line and field (16 cases). deploy/cluster.txtpb is an example; run has none.

--- /dev/null
+++ b/tests/test_cluster_settings.py
@@ -0,0 +1,64 @@
+"""The settings of the cluster: what stands in deploy/, and errors that name line and field."""
+
+from pathlib import Path
+
+import pytest
+
+from paddlequay.cluster.settings import By, Mode
+from paddlequay.config import ConfigError
+from paddlequay.schema.cluster import read_cluster
+
+ROOT = Path(__file__).parent.parent
+GOOD = """cluster {
+  name: "here"
+  acceptor: 0
+  acceptor: 1
+  acceptor: 2
+  limit { name: "a" by: CLASS match: "video" rate: 10 }
+  limit { name: "b" by: SOURCE match: "parent" at_once: 5 mode: OPEN over: 3 }
+  channels { class: "video" bundles: 8 }
+}
+"""
+
+
+def read(folder: Path, text: str) -> None:
+    file = folder / "cluster.txtpb"
+    file.write_text(text)
+    read_cluster(file)
+
+
+def test_the_example_in_deploy_can_be_used() -> None:
+    settings = read_cluster(ROOT / "deploy/cluster.txtpb")
+    assert settings.acceptors == (0, 1, 2) and settings.bounds.lease == 1.5
+    charges, tenants = settings.limits
+    assert charges.by is By.CLASS and charges.mode is Mode.STRICT and charges.rate == 40
+    assert tenants.match == "*" and tenants.mode is Mode.OPEN and tenants.at_once is None
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "said"),
+    [
+        ('name: "here"', 'name: "not here"', ":2: cluster.name: expected 1 to 64 letters"),
+        ("acceptor: 2\n", "", "cluster.acceptor: expected 1, 3, 5, 7 or 9 numbers, got 2"),
+        ("acceptor: 2\n", "acceptor: 1\n", "cluster.acceptor: a number stands there twice"),
+        ('name: "b"', 'name: "a"', "cluster.limit.name: 'a' stands there twice"),
+        ("rate: 10", "rate: nan", ":6: cluster.limit[0].rate: expected 0.001 to 1e+06, got nan"),
+        ("rate: 10", "rate: 10 at_once: 2", "a: expected either rate or at_once"),
+        ("rate: 10", "", "a: expected either rate or at_once"),
+        ("rate: 10", "rate: 10 over: 2", "a: goes with mode OPEN only"),
+        ("at_once: 5", "at_once: 5 burst: 2", "b: goes with rate only"),
+        ('match: "video"', "", 'expected what it is for, or "*"'),
+        ("by: CLASS", "by: GROUP", "expected a group's number, got 'video'"),
+        ("bundles: 8", "bundles: 5000", "cluster.channels.bundles: expected 1 to 1024, got 5000"),
+        ('class: "video" ', "", "cluster.channels.class: expected at least one class"),
+        ('name: "here"', 'name: "here" bounds { grant_s: 2 }', "expected at most the lease, 1.5"),
+        ("acceptor: 0\n  acceptor: 1\n  acceptor: 2\n", "", "need leases, and they acceptors"),
+        ("limit {", "limits {", 'no field named "limits"'),
+    ],
+)
+def test_what_cannot_be_used_is_said_with_its_field(tmp_path: Path, old: str, new: str, said: str) -> None:
+    read(tmp_path, GOOD)
+    assert old in GOOD
+    with pytest.raises(ConfigError) as error:
+        read(tmp_path, GOOD.replace(old, new, 1))
+    assert said in str(error.value)
