--- a/paddlequay/exchange.py
+++ b/paddlequay/exchange.py
@@ -8,12 +8,23 @@
 import logging
 import math
 from collections import deque
-from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field, replace
-from enum import Enum
-from typing import Protocol
+from collections.abc import Callable
+from dataclasses import replace
 
 from paddlequay import log
+from paddlequay.asks import (
+    NOTHING,
+    Ask,
+    Attempt,
+    Caches,
+    End,
+    Open,
+    Order,
+    Reply,
+    Scheduler,
+    Verdict,
+    Watch,
+)
 from paddlequay.config import Limits
 from paddlequay.counters import Counters
 from paddlequay.interface import (
@@ -29,7 +40,6 @@
     Log,
     Member,
     MembersChanged,
-    Note,
     Outcome,
     Purged,
     Refuse,
@@ -46,154 +56,6 @@
 
 LOGGER = logging.getLogger(__name__)
 
-Buffer = bytes | bytearray | memoryview
-
-
-class Verdict(Enum):
-    """What a final answer says."""
-
-    SERVED = "served"
-    UNCHANGED = "unchanged"  # the client's own copy is the one
-    REFUSED = "refused"
-    FAILED = "failed"
-
-
-@dataclass(frozen=True, slots=True)
-class Stamp:
-    """Which copy an answer carries: its tag, the Unix second at which the origin gave it out, its group."""
-
-    tag: str
-    minted: float
-    group: int | None = None
-
-
-@dataclass(slots=True)
-class Ask:
-    """A client's request in no protocol's terms; `name` is the object as passed on, `key` its number."""
-
-    id: str
-    class_name: str
-    ttl: float
-    name: str
-    key: int
-    part: int | None
-    group: int | None
-    body: Buffer = b""
-    known: str | None = None
-    retry: bool = False
-    fill: int | None = None  # a fill of a node in the hierarchy: its number,
-    extra: Callable[[str], Mapping[str, str]] | None = None  # and what it tells a target beside the order
-
-
-@dataclass(slots=True)
-class Reply:
-    """The final answer."""
-
-    verdict: Verdict
-    body: Buffer = b""
-    retry_in: float | None = None
-    stamp: "Stamp | None" = None  # of the copy that was served
-    note: Note | None = None  # of the last attempt, where none was served
-    source: str = ""  # whose answer was served
-
-
-@dataclass(slots=True)
-class Order:
-    """What an attempt tells its target, as it stands at the moment of writing."""
-
-    id: str
-    class_name: str
-    name: str
-    part: int | None
-    body: Buffer
-    known: str | None
-    budget: float
-    source: str | None
-    keep: int
-    max_age: float | None
-    join: bool
-    only_held: bool
-    renew: bool
-    extra: Mapping[str, str]
-
-
-@dataclass(slots=True)
-class End:
-    """How an attempt ended."""
-
-    outcome: Outcome
-    body: Buffer = b""
-    unchanged: bool = False
-    note: Note | None = None
-    waited: float | None = None
-    load: tuple[tuple[str, float], ...] = ()
-    silent: bool = False
-    stamp: Stamp | None = None
-    hint: str = ""
-
-
-NOTHING: Mapping[str, str] = {}
-
-
-class Timer(Protocol):
-    """A timer that can be taken back."""
-
-    def cancel(self) -> None: ...
-
-
-class Scheduler(Protocol):
-    """The clocks and timers: `monotonic` for durations, `unix` for the times of the rules."""
-
-    def monotonic(self) -> float: ...
-    def unix(self) -> float: ...
-    def later(self, delay: float, call: Callable[[], None]) -> Timer: ...
-
-
-class Carrier(Protocol):
-    """What has taken charge of an attempt, such as a connection; says whether it was silent since."""
-
-    def abandon(self, attempt: "Attempt") -> bool: ...
-
-
-class Caches(Protocol):
-    """The side that carries attempts to caches; it names itself or a part of it as their carrier."""
-
-    def start(self, attempt: "Attempt") -> None: ...
-
-
-@dataclass(slots=True, eq=False)
-class Attempt:
-    """One attempt: waiting to be written, out, or over."""
-
-    owner: "Open"
-    number: int
-    fetch: Fetch
-    began: float
-    expires: float
-    timer: Timer | None = None
-    carrier: Carrier | None = None
-    written: float | None = None
-    over: bool = False
-    once: bool = False  # what may have run is never sent again
-
-    @property
-    def id(self) -> str:
-        return self.owner.ask.id
-
-
-@dataclass(slots=True, eq=False)
-class Open:
-    """A request that is owed its final answer."""
-
-    serial: str
-    ask: Ask
-    reply: Callable[[Reply], None]
-    taken: float
-    deadline: float
-    guard: Timer | None = None
-    attempts: list[Attempt] = field(default_factory=list)
-    note: Note | None = None
-
 
 class Exchange:
     """Open requests, timers, events in, actions out."""
@@ -215,6 +77,7 @@
         self.scheduler = scheduler
         self.counters = counters
         self.caches: Caches | None = None
+        self.watch: Watch | None = None
         self.open: dict[str, Open] = {}
         self.ids: set[str] = set()
         self.held = 0  # bytes of bodies of open requests
@@ -244,11 +107,15 @@
             self.counters.add("refused.id_open")
             reply(Reply(Verdict.FAILED))
             return None
-        self.ids.add(ask.id)
-        self.held += len(ask.body)
         self.serials += 1
         left = ask.ttl - self.limits.answer_margin
         item = Open(f"q{self.serials}", ask, reply, now, now + left)
+        if self.watch is not None and (wait := self.watch.asked(item, left)) is not None:
+            self.counters.add("refused.fleet_limit")
+            reply(Reply(Verdict.REFUSED, retry_in=wait))
+            return None
+        self.ids.add(ask.id)
+        self.held += len(ask.body)
         self.open[item.serial] = item
         self.deliver(
             Request(
@@ -342,6 +209,11 @@
             self.counters.add("not_sent")
             self.end(attempt, End(Outcome.NOT_SENT))
             return None
+        # The last word is asked last: what it lends is lent to what is written now.
+        if self.watch is not None and (note := self.watch.writing(attempt, left)) is not None:
+            self.counters.add("not_sent.fleet_limit")
+            self.end(attempt, End(Outcome.REFUSED, note=note))
+            return None
         ask = item.ask
         return Order(
             id=ask.id,
@@ -387,6 +259,8 @@
         if attempt.timer is not None:
             attempt.timer.cancel()
         item = attempt.owner
+        if self.watch is not None:
+            self.watch.ended(attempt, end)
         self.counters.add(f"ended.{end.outcome.value.replace(' ', '_')}")
         final = end.outcome is Outcome.SERVED and item.serial in self.open
         item.note = end.note
@@ -505,6 +379,8 @@
     def forget(self, item: Open) -> None:
         """The request is over; attempts that are still out are given up."""
         del self.open[item.serial]
+        if self.watch is not None:
+            self.watch.over(item)
         self.ids.discard(item.ask.id)
         self.held -= len(item.ask.body)
         if item.guard is not None:
--- a/paddlequay/net/caches.py
+++ b/paddlequay/net/caches.py
@@ -10,9 +10,10 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from paddlequay import log
+from paddlequay.asks import Attempt, End, Order, Stamp
 from paddlequay.config import Address, Limits
 from paddlequay.counters import Counters
-from paddlequay.exchange import Attempt, End, Exchange, Order, Stamp
+from paddlequay.exchange import Exchange
 from paddlequay.fleet.silence import Pace, Waits
 from paddlequay.interface import Note, Outcome, State
 from paddlequay.operation import OUT
--- a/paddlequay/net/clients.py
+++ b/paddlequay/net/clients.py
@@ -11,9 +11,10 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from paddlequay import log
+from paddlequay.asks import Ask, Open, Reply, Verdict
 from paddlequay.config import Limits
 from paddlequay.counters import Counters
-from paddlequay.exchange import Ask, Exchange, Open, Reply, Verdict
+from paddlequay.exchange import Exchange
 from paddlequay.interface import Effect, RequestClass
 from paddlequay.load import OwnLoad
 from paddlequay.net import door
--- a/paddlequay/net/scheduler.py
+++ b/paddlequay/net/scheduler.py
@@ -4,7 +4,7 @@
 import time
 from collections.abc import Callable
 
-from paddlequay.exchange import Timer
+from paddlequay.asks import Timer
 
 
 class LoopScheduler:
--- a/paddlequay/net/tier.py
+++ b/paddlequay/net/tier.py
@@ -10,9 +10,10 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from paddlequay import log
+from paddlequay.asks import Ask, Reply, Verdict
 from paddlequay.config import Limits
 from paddlequay.counters import Counters
-from paddlequay.exchange import Ask, Exchange, Reply, Verdict
+from paddlequay.exchange import Exchange
 from paddlequay.hierarchy.climb import Climber
 from paddlequay.hierarchy.copies import Copy
 from paddlequay.hierarchy.node import Action, Answer, Claim, Fill, Got, Meet, Node, Want, Word
