Let the fleet's word on a member only move this router's own trial forward

Need: forty routers learn of a failing parent alone, three failures each, 5 to 7 s. FleetWord skips a member that has not served this router within a second and lets one request try it at once; a failure puts the next trial off, a success ends it. Nothing sends it yet. Two tests, each seen to fail with its guard taken out (the count that makes one failure enough; one's own fresh success).

--- a/paddlequay/interface.py
+++ b/paddlequay/interface.py
@@ -195,6 +195,13 @@
     knowledge: Mapping[str, float]
 
 
+@dataclass(frozen=True, slots=True)
+class FleetWord:
+    """Several routers have lately found a member failing or silent: a hint, fresh when it is handed in."""
+
+    member: str
+
+
 @dataclass(frozen=True, slots=True)
 class Purged:
     """An object, or without `key` a whole group, was purged `age` seconds ago."""
@@ -219,6 +226,7 @@
     | ClientGone
     | Surrender
     | Inherited
+    | FleetWord
     | Purged
     | TimerDue
 )
--- a/paddlequay/policy/health.py
+++ b/paddlequay/policy/health.py
@@ -38,6 +38,11 @@
         server.ok_at, server.failures, server.skipped = now, 0, False
         return said
 
+    def told(self, server: Server, now: float) -> None:
+        """By the fleet's word it fails: this router's own trial comes first, unless it has served lately."""
+        if not server.skipped and now - server.ok_at > ALIVE_S:
+            server.skipped, server.trial_at, server.failures = True, now, SKIP_FAILURES - 1
+
     def fail(self, server: Server, broke: bool, now: float) -> list[Action]:
         """Skip after consecutive failures; a failed trial puts the next one off."""
         if broke and now - server.failed_at < SAME_FAULT_S:
--- a/paddlequay/policy/router.py
+++ b/paddlequay/policy/router.py
@@ -52,6 +52,8 @@
                 self.know.members.inherit(event.knowledge)
                 self.know.latency.inherit(event.knowledge)
                 self.know.limits.inherit(self.know.members.servers.values(), event.knowledge)
+            case say.FleetWord() if event.member in self.know.members.servers:
+                self.know.health.told(self.know.members.servers[event.member], now)
             case say.Purged():
                 self.know.purges.add(event.group, event.key, now - event.age, now)
             case say.TimerDue(token="subscribe"):
--- a/tests/test_policy_health.py
+++ b/tests/test_policy_health.py
@@ -3,7 +3,7 @@
 import pytest
 from driver import Driver, fetches
 
-from paddlequay.interface import Action, AttemptEnded, Cancel, Note, Outcome
+from paddlequay.interface import Action, AttemptEnded, Cancel, FleetWord, Note, Outcome
 from paddlequay.policy.health import ALIVE_S, SAME_FAULT_S, SKIP_FAILURES, TRIAL_DELAY_S
 
 
@@ -116,3 +116,30 @@
         driver.end(fetch, Outcome.TIMEOUT)
     later = driver.fetch()
     assert (later.target, later.source) != (home.target, home.source)
+
+
+def test_by_the_fleets_word_the_own_trial_comes_first_and_one_failure_skips() -> None:
+    driver = Driver()
+    home = driver.fetch().source
+    driver.now += ALIVE_S + 0.1
+    driver.router.handle(FleetWord(home), driver.now)
+    trial = driver.fetch()
+    assert trial.source == home  # at once, and alone
+    assert driver.fetch().source != home
+    driver.end(trial, Outcome.ERROR, Note.SOURCE_UNREACHED)
+    assert driver.fetch().source != home  # a failed trial puts the next one off
+    driver.now += TRIAL_DELAY_S + 0.1
+    again = driver.fetch()
+    assert again.source == home
+    driver.serve(again, Note.FILLED)
+    assert driver.fetch().source == home
+
+
+def test_who_has_served_this_router_lately_is_not_skipped_by_the_fleets_word() -> None:
+    driver = Driver()
+    fetch = driver.fetch()
+    driver.serve(fetch, Note.FILLED)
+    driver.router.handle(FleetWord(fetch.source), driver.now + 0.2)
+    driver.now += 0.3
+    assert [driver.fetch().source for _ in range(3)] == [fetch.source] * 3
+    driver.router.handle(FleetWord("nobody"), driver.now)
