--- a/tests/cluster/test_fleet_limits.py
+++ b/tests/cluster/test_fleet_limits.py
@@ -437,3 +437,12 @@
     assert asked.rate(1.66) > 400_000
     assert asked.rate(1.8) == 150_000
     assert asked.rate(2.01) == 0
+
+
+def test_long_requests_start_on_granted_places_where_grants_stay_for_them() -> None:
+    for stay, some in ((0.0, False), (1.0, True)):
+        made = World(1, 3, (PLACES,), clocks=0.0, stay=stay)
+        loads(made, 40, 40, lasts=1.0)
+        made.run(6.0)
+        assert bool(made.audits["places"].admitted) is some
+        assert not made.audits["places"].over
