Part what a node is asked and answers from how it decides

The records go to wants.py unchanged; node.py names them again, so that nothing that imports them changes. tests/test_node.py and tests/test_tier.py pass unchanged.

--- a/paddlequay/hierarchy/node.py
+++ b/paddlequay/hierarchy/node.py
@@ -7,136 +7,34 @@
 """
 
 import heapq
-from collections import Counter
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
-from enum import Enum
-from typing import Any
 
-from paddlequay.hierarchy.copies import Copies, Copy, Place, Purges
+from paddlequay.hierarchy.copies import Copies, Copy, Purges
 from paddlequay.hierarchy.leases import Lease, Leases, May, Rung, Toward
 from paddlequay.hierarchy.moves import MoveLimits, Moves
 from paddlequay.hierarchy.shape import Shape
 from paddlequay.hierarchy.trail import HOPS_MOST, Trail
+from paddlequay.hierarchy.wants import (
+    FAILURES,
+    Action,
+    Answer,
+    Claim,
+    Fill,
+    Got,
+    Meet,
+    NodeLimits,
+    Seen,
+    Want,
+    Word,
+)
 from paddlequay.interface import Note
 from paddlequay.placement.homes import arrival, digest, key_of, place, slot_of
 
+__all__ = ["Action", "Answer", "Claim", "Fill", "Got", "Meet", "Node", "NodeLimits", "Want", "Word"]
 
-class Word(Enum):
-    """What an answer says, in the words of the caches' protocol."""
-
-    HIT = "HIT"
-    VALID = "VALID"
-    NONE = "NONE"
-    SHED = "SHED"
-    FAULT = "FAULT"
-    LATE = "LATE"
-
-
-@dataclass(frozen=True, slots=True)
-class NodeLimits:
-    """Bounds of a node; times in seconds, sizes in bytes."""
-
-    bytes: int = 64 * 1024 * 1024
-    fills: int = 2000  # under way
-    joiners: int = 1000  # waiting for one fill
-    waiting: int = 10_000  # waiting in all
-    purge_memory: float = 6.0
-    new: float = 60.0  # after its start the next on the hash may hold what a node is home of
-    fill_longest: float = 6.0  # a fill runs on when its client has left
-    restarts: int = 2  # of a fill whose result was too old for who waits
-
-
-@dataclass(frozen=True, slots=True)
-class Claim:
-    """By which version of the shape a node is an object's home, and where it listens."""
-
-    version: int
-    address: tuple[str, int]
-
-
-@dataclass(frozen=True, slots=True)
-class Meet:
-    """A node that this one's shape does not name yet has claimed an object; it may be asked from now on."""
-
-    name: str
-    address: tuple[str, int]
-
-
-@dataclass(slots=True, eq=False)
-class Want:
-    """What is asked of a node. `token` is the driver's own word for who asks.
-
-    `floor`: no copy minted before this Unix second will do. `trail` is None where a box or a router asks.
-    """
-
-    token: Any
-    name: str
-    part: int | None
-    class_name: str
-    floor: float
-    until: float
-    fill: bool = True  # False: only what is held, or being filled
-    trail: Trail | None = None
-    claim: "Claim | None" = None  # the asker says that it is the home of this object
-    known: str | None = None
-    rank: int = 1
-    keep: bool = True
-    renew: bool = False
-    grace: float = 0.0  # a copy older than `floor` by up to this may answer while it is renewed
-    restarts: int = 0
-    over: bool = False
-    waits: bool = False
-
-    @property
-    def place(self) -> Place:
-        return self.name, self.part
-
-
-@dataclass(frozen=True, slots=True)
-class Answer:
-    """The one answer to a want."""
-
-    want: Want
-    word: Word
-    copy: Copy | None = None
-    detail: str = ""
-    lag: float = 0.0
-    hint: str = ""  # with LOOP: whom the fill here waits for
-
-
-@dataclass(frozen=True, slots=True)
-class Fill:
-    """Begin a fill: ask whom `Node.step` names in turn for a copy minted at `floor` or later."""
-
-    number: int
-    place: Place
-    class_name: str
-    floor: float
-    claim: int
-    longest: float
-
-
-@dataclass(frozen=True, slots=True)
-class Got:
-    """How a fill ended: a copy, or why there is none."""
-
-    copy: Copy | None = None
-    note: Note | None = None
-    refused: bool = False
-    from_store: bool = False
-
-
-Action = Answer | Fill | Meet
 MET_MOST = 64
 DETOURS_MOST = 6  # rungs that one fill takes beside its ladder
 STAND_INS = 3  # homes that are asked in turn before a node goes to the store itself
-FAILURES = {
-    Note.SOURCE_REFUSED: "UP_BUSY",
-    Note.SOURCE_UNREACHED: "UP_DOWN",
-    Note.SOURCE_LACKS: "UP_MISS",
-    Note.ORIGIN_FAILED: "ORIGIN_ERR",
-}
 
 
 def ranked(weights: Mapping[str, float], key: int) -> list[str]:
@@ -145,16 +43,6 @@
     return sorted(weights, key=lambda name: (arrival(digest(name), slot, weights[name]), name))
 
 
-@dataclass(slots=True)
-class Seen:
-    """What happened, for counters and the console."""
-
-    counts: Counter[str] = field(default_factory=Counter)
-
-    def add(self, name: str, count: int = 1) -> None:
-        self.counts[name] += count
-
-
 class Node:
     """One cache of the hierarchy."""
 
