Tell the decisions of a member that is said to hold a part

The owner of a live channel tells other routers which box holds it. HeldBy hands that in as what it is, a hint: a holder beside those seen, no read counted. Note.OLD_TERM names the answer to a fill under a term that is over.

--- a/paddlequay/interface.py
+++ b/paddlequay/interface.py
@@ -54,6 +54,7 @@
     FILLS_FULL = 9
     ORIGIN_FAILED = 10
     LOOPED = 11  # the target stands in the way of the fill itself
+    OLD_TERM = 12  # a channel's later owner was seen: the one that asked for this is followed
 
 
 @dataclass(frozen=True, slots=True)
@@ -202,6 +203,15 @@
     member: str
 
 
+@dataclass(frozen=True, slots=True)
+class HeldBy:
+    """A member was told to hold a part of an object: a hint, fresh when it is handed in."""
+
+    key: int | None
+    part: int | None
+    member: str
+
+
 @dataclass(frozen=True, slots=True)
 class Purged:
     """An object, or without `key` a whole group, was purged `age` seconds ago."""
@@ -227,6 +237,7 @@
     | Surrender
     | Inherited
     | FleetWord
+    | HeldBy
     | Purged
     | TimerDue
 )
--- a/paddlequay/policy/router.py
+++ b/paddlequay/policy/router.py
@@ -54,6 +54,8 @@
                 self.know.limits.inherit(self.know.members.servers.values(), event.knowledge)
             case say.FleetWord() if event.member in self.know.members.servers:
                 self.know.health.told(self.know.members.servers[event.member], now)
+            case say.HeldBy():
+                self.know.hotness.told((event.key, event.part), event.member, now)
             case say.Purged():
                 self.know.purges.add(event.group, event.key, now - event.age, now)
             case say.TimerDue(token="subscribe"):
--- a/paddlequay/tables.py
+++ b/paddlequay/tables.py
@@ -23,6 +23,14 @@
 
     def read(self, place: Hashable, now: float) -> tuple[Seen, float, float]:
         """Count a read: the record, how many reads it had before, and the seconds since the last of them."""
+        seen = self.place(place, now)
+        before, since = seen.reads, now - seen.read_at
+        seen.reads = 1.0 + before * math.exp(-since / self.fade)
+        seen.read_at = now
+        return seen, before, since
+
+    def place(self, place: Hashable, now: float) -> Seen:
+        """The record of a place, a new one where there is none."""
         seen = self.table.get(place)
         if seen is None:
             seen = self.table[place] = Seen(now)
@@ -30,10 +38,11 @@
             while len(self.table) > OBJECTS_MOST or next(iter(self.table.values())).read_at < oldest:
                 self.table.popitem(last=False)
         self.table.move_to_end(place)
-        before, since = seen.reads, now - seen.read_at
-        seen.reads = 1.0 + before * math.exp(-since / self.fade)
-        seen.read_at = now
-        return seen, before, since
+        return seen
+
+    def told(self, place: Hashable, name: str, now: float) -> None:
+        """A cache is said to hold a part, which is no read of it."""
+        self.add_holder(self.place(place, now), name, now)
 
     def add_holder(self, seen: Seen, name: str, now: float) -> None:
         """A part was asked of a cache, which has it from then on."""
