Refuse in the tier what a channel's former owner still sends

An owner checks its lease right before it writes a fill; between that and the arrival lie queues and stops that it cannot see. Fields chan and term of an ASK, hex, both or none; without them nothing changes.

--- a/paddlequay/hierarchy/node.py
+++ b/paddlequay/hierarchy/node.py
@@ -13,6 +13,7 @@
 from paddlequay.hierarchy.leases import Lease, Leases, May, Rung, Toward
 from paddlequay.hierarchy.moves import MoveLimits, Moves
 from paddlequay.hierarchy.shape import Shape
+from paddlequay.hierarchy.terms import Terms
 from paddlequay.hierarchy.trail import HOPS_MOST, Trail
 from paddlequay.hierarchy.wants import (
     FAILURES,
@@ -61,6 +62,7 @@
         self.copies = Copies(limits.bytes)
         self.purges = Purges(limits.purge_memory)
         self.leases: Leases[Want] = Leases(limits.fills, limits.joiners)
+        self.terms = Terms()
         self.waiting = 0
         self.ends: list[tuple[float, int, Want]] = []
         self.serial = 0
@@ -93,6 +95,10 @@
         """Take a want; its answer comes in these actions or in later ones, exactly once."""
         self.actions = []
         self.seen.add("asked")
+        if want.channel is not None and not self.terms.takes(*want.channel, now):
+            self.seen.add("old_terms")
+            self.answer(want, Word.NONE, detail="OLD_TERM")
+            return self.actions
         if want.trail is not None and (self.name in want.trail.hops or len(want.trail.hops) >= HOPS_MOST):
             # The loop is found where it closes: the one before takes its next rung at once.
             self.seen.add("loops_found")
--- a/paddlequay/hierarchy/wants.py
+++ b/paddlequay/hierarchy/wants.py
@@ -67,6 +67,7 @@
     fill: bool = True  # False: only what is held, or being filled
     trail: Trail | None = None
     claim: "Claim | None" = None  # the asker says that it is the home of this object
+    channel: tuple[int, int] | None = None  # filled ahead for this live channel, under this term
     known: str | None = None
     rank: int = 1
     keep: bool = True
--- a/paddlequay/net/caches.py
+++ b/paddlequay/net/caches.py
@@ -43,6 +43,7 @@
     "NO_FILL": Note.FILLS_FULL,
     "ORIGIN_ERR": Note.ORIGIN_FAILED,
     "LOOP": Note.LOOPED,
+    "OLD_TERM": Note.OLD_TERM,
 }
 LOADS = {"inflight": "active", "util": "cpu"}  # the words of the settings' list of load fields
 
--- a/paddlequay/net/tier.py
+++ b/paddlequay/net/tier.py
@@ -3,6 +3,7 @@
 
 import asyncio
 import logging
+import re
 import socket
 from collections import OrderedDict
 from collections.abc import Callable, Mapping
@@ -29,6 +30,8 @@
 
 LOGGER = logging.getLogger(__name__)
 
+HEX = re.compile("[0-9a-f]{1,16}")
+
 
 class FieldError(ValueError):
     """A field of a request that cannot be used."""
@@ -43,6 +46,16 @@
     return int(text)
 
 
+def read_channel(fields: Mapping[str, str]) -> tuple[int, int] | None:
+    """The channel that a fill is ahead for, and its owner's term: both or none, hex digits, 64 bits."""
+    if "chan" not in fields and "term" not in fields:
+        return None
+    texts = fields.get("chan", ""), fields.get("term", "")
+    if not all(HEX.fullmatch(text) for text in texts):
+        raise FieldError(f"chan, term: expected up to 16 hex digits, got {' '.join(texts)[:60]!r}")
+    return int(texts[0], 16), int(texts[1], 16)
+
+
 def about(id: str, fields: Mapping[str, str]) -> str:
     """What a trail is signed for: this request and no other, and what it claims."""
     return " ".join((id, *(fields.get(name, "") for name in ("queue", "path", "blk", "claim"))))
@@ -251,6 +264,7 @@
             fill="via" in fields and "held" not in options,
             trail=trail,
             claim=read_claim(fields["claim"]) if "claim" in fields else None,
+            channel=read_channel(fields),
             known=fields.get("known"),
             rank=min(3, whole_number(fields, "tier", 3) or 0),
             keep="nocopy" not in options,
--- /dev/null
+++ b/tests/test_terms.py
@@ -0,0 +1,63 @@
+"""A node refuses what a channel's former owner still sends."""
+
+import pytest
+
+from paddlequay.hierarchy.moves import MoveLimits
+from paddlequay.hierarchy.node import Answer, Fill, Node, NodeLimits, Want, Word
+from paddlequay.hierarchy.terms import Terms
+from paddlequay.interface import Effect, HeldBy, Note, RequestClass, Settings
+from paddlequay.net.caches import read_end
+from paddlequay.net.tier import FieldError, read_channel
+from paddlequay.policy import Router
+from paddlequay.protocol import caches as wire
+
+
+def test_a_lower_term_is_refused_and_the_same_one_taken() -> None:
+    terms = Terms()
+    assert terms.takes(1, 5, 0.0) and terms.takes(1, 5, 1.0) and terms.takes(1, 7, 2.0)
+    assert not terms.takes(1, 6, 3.0) and terms.takes(1, 7, 3.0)
+    assert terms.takes(2, 1, 3.0)  # each channel has its own
+
+
+def test_what_is_remembered_has_a_bound_and_an_end() -> None:
+    terms = Terms(most=3, kept=10.0)
+    for channel in range(5):
+        terms.takes(channel, 9, 0.0)
+    assert len(terms) == 3 and terms.takes(0, 1, 1.0) and not terms.takes(4, 1, 1.0)
+    # Refused words keep nothing alive: a former owner that goes on for ever binds nothing.
+    assert not terms.takes(4, 1, 9.9) and terms.takes(4, 1, 10.1)
+
+
+def test_a_node_answers_a_lower_term_as_a_miss_and_begins_nothing() -> None:
+    node = Node("a", NodeLimits(), MoveLimits())
+
+    def ask(term: int | None, part: int) -> list[object]:
+        channel = None if term is None else (77, term)
+        want = Want("who", "00", part, "video", 0.0, 9.0, channel=channel)
+        return list(node.ask(want, 1.0))
+
+    assert isinstance(ask(8, 1)[0], Fill)
+    (answer,) = ask(7, 2)
+    assert isinstance(answer, Answer) and (answer.word, answer.detail) == (Word.NONE, "OLD_TERM")
+    assert isinstance(ask(None, 2)[0], Fill)  # who names no channel goes the ordinary way
+    assert node.seen.counts["old_terms"] == 1
+    reader = wire.Reader(1000, 1000)
+    (told,) = reader.feed(b"x NONE detail=OLD_TERM 0\r\n\r\n")
+    assert read_end(told).note is Note.OLD_TERM
+
+
+@pytest.mark.parametrize(
+    "fields", [{"chan": "1"}, {"term": "1"}, {"chan": "x", "term": "1"}, {"chan": "0" * 17, "term": "1"}]
+)
+def test_fields_that_name_no_channel_and_term_are_refused(fields: dict[str, str]) -> None:
+    with pytest.raises(FieldError):
+        read_channel(fields)
+    assert read_channel({}) is None and read_channel({"chan": "ff", "term": "10"}) == (255, 16)
+
+
+def test_a_router_believes_who_it_is_told_holds_a_part() -> None:
+    kind = RequestClass("video", aim=0.5, deadline=2.0, effect=Effect.SAFE)
+    router = Router(Settings(zone="here", classes=(kind,)), 1)
+    router.handle(HeldBy(5, 3, "box"), 1.0)
+    seen, before, _ = router.know.hotness.read((5, 3), 1.5)
+    assert (dict(seen.holders), before) == ({"box": 1.0}, 0.0)  # no read was counted
