--- /dev/null
+++ b/tests/test_cluster_audit.py
@@ -0,0 +1,57 @@
+"""The auditor finds what it is to find, and nothing else."""
+
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from paddlequay.lab.cluster_audit import (
+    Answered,
+    Look,
+    answers_wrong,
+    longest_without,
+    over,
+    ran_twice,
+    terms_back,
+    two_holders,
+)
+
+
+@given(st.lists(st.floats(0, 10), max_size=40), st.floats(0.5, 20), st.floats(1, 5))
+def test_the_sweep_finds_what_all_windows_show(times: list[float], rate: float, burst: float) -> None:
+    ordered = sorted(times)
+    worst = max(
+        (
+            (later - first + 1) - rate * (ordered[later] - ordered[first])
+            for first in range(len(ordered))
+            for later in range(first, len(ordered))
+        ),
+        default=0.0,
+    )
+    assert abs(over(times, rate, burst, 0.0) - max(0.0, worst - burst)) < 1e-6
+
+
+def test_a_bucket_of_its_own_is_never_over_and_one_request_more_is() -> None:
+    drawn, now, tokens, times = random.Random(3), 0.0, 4.0, []
+    for _ in range(500):
+        wait = drawn.expovariate(30)
+        now, tokens = now + wait, min(4.0, tokens + 10 * wait)
+        if tokens >= 1:
+            tokens -= 1
+            times.append(now)
+    assert over(times, 10, 4, 0) < 1e-9
+    assert over([*times, *([times[100]] * 5)], 10, 4, 0) > 1
+
+
+def test_only_a_look_between_two_of_another_router_proves_two_holders() -> None:
+    handed_over = [Look(1, 0, 5), Look(2, 0, 5), Look(2.1, 1, 6), Look(3, 0, None), Look(4, 1, 6)]
+    assert two_holders(handed_over) == 0 and terms_back(handed_over) == 0
+    assert two_holders([*handed_over[:3], Look(3, 0, 5)]) == 1
+    assert terms_back([Look(1, 0, 5), Look(2, 1, 4), Look(3, 0, 5)]) == 1
+    assert longest_without([Look(1, 0, 5), Look(4, 1, 6), Look(4.5, 1, 6)], 0.5, 5) == 3
+
+
+def test_charges_run_twice_and_answers_missing_or_double_are_found() -> None:
+    answers = [Answered(0, 1, "a", "served"), Answered(0, 1, "b", "served"), Answered(0, 2, "b", "served")]
+    assert answers_wrong(["a", "b", "c", "d"], answers, ["d"]) == ["b", "c"]
+    assert ran_twice({"a": 1, "b": 2}) == ["b"]
