--- a/paddlequay/cli/lab.py
+++ b/paddlequay/cli/lab.py
@@ -27,7 +27,7 @@
     sys.exit(0 if good else 1)
 
 
-NAMES = ("discovery", "dns-outage", "fleet", "hierarchy", "homes", "members", "model")
+NAMES = ("cluster", "discovery", "dns-outage", "fleet", "hierarchy", "homes", "members", "model", "placement")
 
 
 @lab.command("run")
@@ -42,18 +42,20 @@
 )
 def run_(name: str, quick: bool, seed: int, out: Path | None, base: Path | None) -> None:
     """Play experiment NAME; exit 0 when all its claims hold, 1 when not."""
-    from paddlequay.lab import fleet, homes, model, reshape, sources
+    from paddlequay.lab import cluster, fleet, homes, model, placement, reshape, sources
     from paddlequay.lab.claims import Setup
 
     folder = out or Path(tempfile.mkdtemp(prefix=f"paddlequay-{name}-"))
     setup = Setup(quick, seed, folder, click.echo)
     plain = {
+        "cluster": cluster.run,
         "discovery": sources.discovery,
         "dns-outage": sources.dns_outage,
         "fleet": fleet.run,
         "hierarchy": reshape.run,
         "members": sources.members,
         "model": model.run,
+        "placement": placement.run,
     }
     results = homes.run(setup, base) if name == "homes" else plain[name](setup)
     click.echo(results.text())
--- a/paddlequay/cli/main.py
+++ b/paddlequay/cli/main.py
@@ -26,20 +26,37 @@
 @cli.command()
 @click.argument("file", type=click.Path(path_type=Path))
 def check(file: Path) -> None:
-    """Check a settings file; an error names file, line and field."""
+    """Check a settings file, or placement rules (FILE.rules); an error names file, line and field."""
+    from paddlequay.schema.cluster import read_cluster
     from paddlequay.schema.read import parsed, read_settings
     from paddlequay.schema.sources import read_discovery
 
     try:
-        if parsed(file)[0].WhichOneof("role") == "discovery":
+        if file.suffix == ".rules":
+            return click.echo(check_rules_of(file))
+        role = parsed(file)[0].WhichOneof("role")
+        if role == "discovery":
             sources = ", ".join(rule.name for rule in read_discovery(file).rules)
             return click.echo(f"{file}: discovery from {sources}: can be used")
+        if role == "cluster":
+            cluster = read_cluster(file)
+            limits = ", ".join(limit.name for limit in cluster.limits) or "none"
+            told = f"{len(cluster.acceptors)} acceptors, limits {limits}"
+            if cluster.rules is not None:
+                click.echo(check_rules_of(cluster.rules))
+            return click.echo(f"{file}: cluster {cluster.name}: {told}: can be used")
         settings = read_settings(file)
     except ConfigError as error:
         return refuse(error)
     click.echo(f"{file}: tier {settings.name} of {settings.group}: can be used")
 
 
+def check_rules_of(path: Path) -> str:
+    from paddlequay.placement.checks import check_rules
+
+    return check_rules(path)
+
+
 @cli.command()
 @click.argument("file", type=click.Path(path_type=Path))
 def tier(file: Path) -> None:
--- a/paddlequay/lab/fleet_rig.py
+++ b/paddlequay/lab/fleet_rig.py
@@ -16,7 +16,7 @@
 from typing import Any
 
 from paddlequay.lab.links import Links
-from paddlequay.lab.plaza import Plan, Plaza
+from paddlequay.lab.plaza import Plan, Plaza, free_port
 
 CLUSTER = """cluster {
   name: "rehearsal"
@@ -66,9 +66,11 @@
         told = dict(plan.environment) | {"PADDLEQUAY_CLUSTER": str(settings)}
         super().__init__(replace(plan, environment=told), folder)
         self.links = Links(plan.routers, seed)
+        self.nowhere = free_port()  # nobody listens there
         self.places = [Place(number, address) for number, address in enumerate(self.load.routers)]
         self.did: list[Did] = []
         self.settings_file = settings
+        self.blind: set[int] = set()  # routers to which every member is dead, from their next start on
 
     async def up(self) -> None:
         await self.links.up(free_udp() for _ in self.places)
@@ -78,6 +80,11 @@
         told = super().config(number, address)
         told["settings"]["me"] = number
         told["settings"]["limits"]["peers"] = True
+        if number in self.blind:
+            told["known"] = json.loads(json.dumps(told["known"]))
+            for event in told["known"]["items"]:
+                for instance in event.get("roster", {}).get("instances", ()):
+                    instance["hostPort"] = f"127.0.0.1:{self.nowhere}"
         return told | self.links.config(number)
 
     async def start_router(self, number: int, address: tuple[str, int]) -> None:
--- a/paddlequay/lab/standins.py
+++ b/paddlequay/lab/standins.py
@@ -145,6 +145,7 @@
         self.inflight = 0
         self.given: list[Given] = []
         self.charges: Counter[str] = Counter()
+        self.ran: list[float] = []  # when charges came, Unix seconds
         self.purged: dict[str, tuple[int, float]] = {}  # purges of an object, and the latest, Unix seconds
         self.factor = 1.0
 
@@ -157,6 +158,7 @@
         name, part = asked.fields.get("path", ""), asked.fields.get("blk", "")
         if asked.fields.get("queue") == "toll-charge":
             self.charges[asked.id] += 1
+            self.ran.append(time.time())
             await asyncio.sleep(self.delay)
             return "HIT", {"detail": "HIT"}, b"charged"
         self.inflight += 1
