--- /dev/null
+++ b/tests/cluster/test_leases.py
@@ -0,0 +1,269 @@
+"""Leases in named troubles: who holds when, under which term, and how soon. Times are true seconds."""
+
+import math
+import random
+
+import pytest
+
+from paddlequay.cluster import acceptor, proposer
+from paddlequay.cluster.acceptor import counter
+from paddlequay.cluster.leases import Leases
+from paddlequay.cluster.notes import NOTES, Note, Prepare, Promise, Propose, Release
+from paddlequay.cluster.types import Bounds, Fleet, HolderSeen, LeaseLost, LeaseTaken, Say, Tell
+from paddlequay.lab.lease_world import World
+
+T = Bounds().lease
+OUT = T * 1.05 / 0.95  # what a stay-out or a lock takes at most, by the slowest clock
+SEEDS = range(30)
+
+
+def held(world: World) -> bool:
+    return bool(world.holders(1))
+
+
+def until_held(
+    world: World, seconds: float, by: int | None = None, above: int = 0, loss: float = 0.0
+) -> float:
+    """True seconds until somebody, or `by`, holds lease 1 under a term above one; endless past `seconds`."""
+
+    def done() -> bool:
+        return any(term > above and me == (me if by is None else by) for me, term in world.holders(1))
+
+    took = world.run(seconds, done, loss)
+    return math.inf if took is None else took
+
+
+def holding(seed: int, *wanting: int, size: int = 5) -> World:
+    """Acceptors 0 to 2 are in, router 3 holds lease 1, and others want it too."""
+    world = World(size, seed)
+    world.run(OUT + 0.1)
+    world.want(3, 1)
+    assert until_held(world, 1.0) < 1
+    for each in wanting:
+        world.want(each, 1)
+    world.run(1.0)
+    return world
+
+
+def test_a_killed_holders_lease_is_taken_again_within_the_stated_time() -> None:
+    took = []
+    for seed in SEEDS:
+        world = holding(seed, 0, 4)
+        world.processes[3].stopped = True
+        took.append(until_held(world, 4.0, above=world.last[1]))
+    assert max(took) <= 2.2
+
+
+def test_a_holder_stopped_past_its_lease_sees_at_once_that_it_holds_nothing() -> None:
+    world = holding(1, 4)
+    world.processes[3].stopped = True
+    term = world.processes[3].holds(1)
+    assert term is not None
+    assert until_held(world, 4.0, by=4, above=term) < 4
+    assert world.processes[3].holds(1) is None  # before it was told anything
+    said = world.processes[3].leases.tick(world.processes[3].clock)
+    assert LeaseLost(1, term) in said
+    assert [me for me, _ in world.holders(1)] == [4]
+
+
+def test_a_renewal_that_is_answered_after_the_end_does_not_bring_the_lease_back() -> None:
+    world = holding(1)
+    process = world.processes[3]
+    world.run(1.0, lambda: any(isinstance(message.note, Propose) for message in world.pending))
+    batch, world.pending = world.pending, []
+    process.stopped = True
+    for message in batch:
+        world.deliver(message)
+    world.advance(1.3)
+    process.stopped = False
+    assert process.holds(1) is None
+    for message in world.pending:
+        world.deliver(message)
+    assert process.holds(1) is None
+
+
+@pytest.mark.parametrize(("deaf", "within"), [(True, 3.2), (False, 2.2)])
+def test_a_holder_whose_link_works_one_way_loses_its_lease_to_another(deaf: bool, within: float) -> None:
+    for seed in SEEDS:
+        world = holding(seed, 4)
+        for each in (0, 1, 2, 4):
+            world.blocked.add((each, 3) if deaf else (3, each))
+        assert until_held(world, 6.0, by=4, above=world.last[1]) <= within
+
+
+def test_without_a_majority_nobody_holds_and_with_it_again_somebody_does() -> None:
+    world = holding(2, 0, 4)
+    world.processes[1].stopped = world.processes[2].stopped = True
+    assert world.run(2.0, lambda: not held(world)) is not None
+    assert world.run(5.0, lambda: held(world)) is None
+    assert world.settle(2.2, lambda: held(world)) is not None
+
+
+def test_acceptors_that_start_anew_one_after_another_cost_no_holder_and_no_terms_order() -> None:
+    for seed in SEEDS:
+        world = holding(seed)
+        term = world.last[1]
+        for each in (0, 1, 2):
+            world.restart(each)
+            world.run(OUT + 0.2)
+            assert [(3, term)] == world.holders(1)
+        # All votes of old are forgotten, and so is what the next bidder knew.
+        world.restart(4)
+        world.processes[3].stopped = True
+        world.run(OUT + 5 * T)
+        world.want(4, 1)
+        assert until_held(world, 2.0, by=4) < 2
+        assert counter(world.last[1]) > counter(term) and world.forgotten == 0
+
+
+def test_an_heir_takes_what_it_is_left_at_once_and_before_others() -> None:
+    took = []
+    for seed in SEEDS:
+        world = holding(seed, 0, 1, 4)
+        world.drop(3, 1, heir=4)
+        took.append(until_held(world, 1.0))
+        assert [me for me, _ in world.holders(1)] == [4]
+    assert max(took) <= 0.15
+
+
+def test_bidders_at_once_do_not_duel_for_long() -> None:
+    took = []
+    for seed in SEEDS:
+        world = World(8, seed)
+        world.run(OUT + 0.1)
+        for each in range(8):
+            world.want(each, 1)
+        took.append(until_held(world, 4.0))
+    assert sum(took) / len(took) <= 0.2 and max(took) <= 0.7
+
+
+def test_a_lease_is_taken_and_kept_where_three_of_ten_messages_are_lost() -> None:
+    took, terms = [], 0
+    for seed in SEEDS:
+        world = World(5, seed)
+        world.run(OUT + 0.1)
+        world.want(3, 1)
+        world.want(4, 1)
+        took.append(until_held(world, 6.0, loss=0.3))
+        world.run(20.0, loss=0.3)
+        terms += world.takes
+    assert max(took) <= 2.0
+    assert terms <= len(SEEDS) + 3  # of 600 seconds held
+
+
+def test_the_leases_of_a_dead_holder_are_bid_for_at_the_stated_pace() -> None:
+    names = tuple(range(1, 201))
+    world = World(4, 1, names=names)
+    world.run(OUT + 0.1)
+    for name in names:
+        world.want(3, name)
+    assert world.run(200 / proposer.PACE + 1, lambda: all(map(world.holders, names))) is not None
+    for name in names:
+        world.want(0, name)
+    world.processes[3].stopped = True
+    asked: set[tuple[int, int, int]] = set()
+    start = world.time
+
+    def taken() -> bool:
+        for message in world.pending:
+            if message.sender == 0 and isinstance(message.note, Prepare):
+                bid = world.processes[0].leases.proposer.bids[message.note.lease]
+                asked.add((bid.lease, bid.ballot, round(bid.gives_up * 1000)))
+        assert len(asked) <= proposer.BURST + (world.time - start) * proposer.PACE * 1.05 + 1
+        return len(world.processes[0].told) == 200
+
+    took = world.run(20.0, taken)
+    assert took is not None and took <= 2.2 + 200 / proposer.PACE
+
+
+def single(now: float = 0.0) -> Leases:
+    """A router that is the one acceptor: all is played inside."""
+    return Leases(Fleet(0, 2, (0,)), Bounds(), random.Random(1), now)
+
+
+def test_one_acceptor_alone_takes_renews_and_gives_back_without_a_note_to_itself() -> None:
+    leases = single()
+    leases.want(7, 0.0)
+    now, said = 0.0, []
+    while now < 5:
+        now = max(now, leases.due())
+        said += leases.tick(now)
+    term = leases.holds(7, now)
+    assert term is not None and leases.holder(7, now) == 0
+    assert [type(each) for each in said] == [LeaseTaken]
+    assert leases.drop(7, now) == [LeaseLost(7, term)]
+    assert leases.holds(7, now) is None
+
+
+def test_a_bidder_that_one_acceptor_promised_does_not_keep_the_holder_from_it() -> None:
+    for seed in SEEDS:
+        world = World(5, seed)
+        world.run(OUT + 0.1)
+        world.blocked = {(3, 0), (0, 3)}
+        world.want(3, 1)
+        assert until_held(world, 1.0) < 1
+        world.want(4, 1)  # acceptor 0 promises it, again and again
+        world.run(3.0)
+        world.blocked.clear()
+        world.run(2.0)
+        term = world.last[1]
+        world.processes[1].stopped = True
+        world.run(5.0)
+        assert world.holders(1) == [(3, term)]
+
+
+def test_no_lease_longer_than_the_stay_out_covers_is_given() -> None:
+    leases = single()
+    leases.tick(2.0)
+    ballot = 5 << 32 | 1 << 16
+    leases.hear(1, 0, Prepare(7, ballot), 2.0)
+    assert leases.hear(1, 0, Propose(7, ballot, 1501, 0), 2.0) == []
+    assert leases.hear(1, 0, Propose(7, ballot, 1500, 0), 2.0) != []
+
+
+def test_who_only_asks_is_told_the_holder_and_disturbs_nothing() -> None:
+    leases = single()
+    leases.tick(2.0)
+    ballot = 5 << 32 | 1 << 16
+    for note in (Prepare(7, ballot), Propose(7, ballot, 1500, 0)):
+        leases.hear(1, 0, note, 2.0)
+    assert leases.ask(7, 2.1) == [HolderSeen(7, 1, ballot)]
+    assert leases.holder(7, 2.1) == 1 and leases.holder(7, 4.0) is None
+    (told,) = leases.hear(1, 0, Prepare(7, 0), 2.1)
+    assert isinstance(told, Tell) and isinstance(told.note, Promise) and told.note.holder == 1
+
+
+def test_what_is_remembered_has_bounds_and_ends(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(acceptor, "STATES_MOST", 3)
+    monkeypatch.setattr(proposer, "BIDS_MOST", 3)
+    monkeypatch.setattr(proposer, "HINTS_MOST", 3)
+    leases = single()
+    leases.tick(2.0)
+    voting = leases.acceptor
+    assert voting is not None
+    for name in range(9):
+        leases.hear(1, 0, Prepare(name, 9 << 32 | 1 << 16), 2.0)
+        leases.hear(0, 0, Promise(name, 1, 9 << 32 | 1 << 16, 1, 1500), 2.0)
+        said = leases.want(name, 2.0)
+    assert len(voting.votes) == 3 and len(leases.proposer.hints) == 3 and len(leases.proposer.bids) == 3
+    assert [type(each) for each in said] == [Say]
+    for name in range(3):
+        leases.drop(name, 2.0)
+    leases.tick(2.0 + 2.1 * T)
+    assert not voting.votes and counter(voting.floor or 0) == 9  # forgotten, but not the order of terms
+
+
+def test_no_note_raises_or_is_believed_from_whom_it_cannot_come_from() -> None:
+    rng = random.Random(3)
+    leases = single()
+    leases.want(0, 0.0)
+    kinds: list[type[Note]] = [NOTES[kind] for kind in range(10, 16)]
+    for turn in range(5000):
+        kind = rng.choice(kinds)
+        values = [rng.choice((0, 1, 1 << 16, 1 << 32 | 1 << 16, (1 << 63) - 1)) for _ in kind.__slots__]
+        leases.hear(1, 0, kind(*values), 2.0 + turn / 1000)
+        leases.tick(2.0 + turn / 1000)
+    fresh = single()
+    fresh.tick(2.0)
+    assert fresh.hear(1, 0, Prepare(7, 5 << 32), 2.0) == []  # a ballot of router 0
+    assert fresh.hear(1, 0, Release(7, 5 << 32, 1), 2.0) == []
