Own live channels in bundles, hand them on, and fill the next part ahead

Several clients of a plaza follow a live object part by part, and each router filled each part for itself. One router now owns a bundle of channels by its lease and alone fills ahead, under its term, asked for at the moment of use; those who read the bundle tell the owner, and hear from it which box holds what. A planned handoff overlaps for Bounds.overlap at most by any clock, under the lower term; a lease lost otherwise ends at once. Nobody waits for an owner.

--- /dev/null
+++ b/paddlequay/cluster/channels.py
@@ -0,0 +1,315 @@
+"""Live channels: which router of a plaza alone fills the next part ahead, and which box holds what it filled.
+
+Nobody waits for an owner: without one, or without its word, every router goes the ordinary way. A router that
+reads a live channel looks for the owner of its bundle by bidding for the lease, and stops bidding as soon as
+it hears who has it. From then on it tells that owner once a second that its word is waited for (an unasked
+`Ready`, term 0), so that an owner's word goes to those who read and to nobody else, and those who may take a
+bundle over are warm: they read it. An owner that falls silent, or is suspected, is looked for anew.
+
+A bundle is handed on by Offer (asks whether the receiver still reads it), Ready (it does, and its bid waits),
+the release of the lease to it, and Took (its first part is filled). `bundles.py` tells what overlaps.
+
+Bounds, by a router: `BIDS` bids a second, `BIDS_BURST` at once, each one election at least (a bid that finds
+a holder is taken back; one that waits for a dead holder's lease asks again, within the leases' own pace);
+and what `handoff.py` says of moves.
+"""
+
+import math
+import random
+from typing import ClassVar
+
+from paddlequay.cluster.ahead import Ahead, Boxes, Reads
+from paddlequay.cluster.bundles import Bundle, Bundles, LeasesOf
+from paddlequay.cluster.handoff import Handoff
+from paddlequay.cluster.notes import Carried, Load, Note, Offer, Ready, Took
+from paddlequay.cluster.settings import ChannelRule
+from paddlequay.cluster.types import (
+    NEVER,
+    Action,
+    Bounds,
+    Fleet,
+    HolderSeen,
+    LeaseLost,
+    LeaseTaken,
+    Local,
+    Name,
+    Owned,
+    Peer,
+    PeerChanged,
+    Standing,
+    Tell,
+    Urgency,
+)
+
+LOOK_S = 0.1  # between two looks at bundles and channels
+FOLLOW_S = 1.0  # between two words to an owner that it is followed, with one's load
+BEAT_S = 0.5  # an owner that has filled nothing says so
+SILENT_S = 1.2  # an owner not heard for so long is looked for: well under a lease, over two lost beats
+SPREAD_S, CROWD = 0.4, 64.0  # over which those who look for the same owner are spread
+DENIED_S = 0.5  # after a router has said that it owns nothing, what acceptors told of it is no word
+PATIENCE_S = 0.25  # of a bid that is told of a holder: one acceptor's word may be of an election that fails
+BIDS, BIDS_BURST = 10.0, 4.0
+
+
+class Channels:
+    """The part of the cluster that owns live channels; `rng` is seeded anew for each run."""
+
+    HEARS: ClassVar[tuple[type[Note], ...]] = (Carried, Offer, Ready, Took, Load)
+    bundles_kind: ClassVar[type[Bundles]] = Bundles
+    handoff_kind: ClassVar[type[Handoff]] = Handoff
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        bounds: Bounds,
+        rule: ChannelRule,
+        leases: LeasesOf,
+        rng: random.Random,
+        now: float,
+    ) -> None:
+        self.fleet, self.bounds, self.rule, self.leases, self.rng = fleet, bounds, rule, leases, rng
+        self.bundles = self.bundles_kind(fleet.zone, rule.bundles, bounds, leases)
+        self.reads = Reads(fleet.zone, rule)
+        self.boxes = Boxes(rule.most)
+        self.handoff = self.handoff_kind(rule, self.bundles, leases)
+        self._tokens, self._filled = BIDS_BURST, now
+        self._look = NEVER
+        self._news: list[Action] = []  # found while only an answer could be given
+
+    # --- for the driver ---
+
+    def asked(self, name: str, kind: str, part: int, now: float) -> list[Ahead]:
+        """A client has asked for a part of an object of a class in `rule.classes`: what to fill ahead now."""
+        if kind not in self.rule.classes:
+            return []
+        self._wake(now)
+        channel = self.reads.read(name, kind, part, now)
+        bundle = self.bundles.of(channel.number)
+        if not channel.live:
+            bundle.live.discard(channel.number)
+            return []
+        term = self.bundles.terms(bundle, now)
+        if channel.number not in bundle.live:
+            bundle.live.add(channel.number)
+            if bundle.term:
+                self._news.append(Owned(channel.number, bundle.term))
+        return [] if term is None else self.reads.due(channel, term, now)
+
+    def may_fill(self, ahead: Ahead, now: float) -> int | None:
+        """The term to write a fill under, asked right before writing; None: it must not be written."""
+        term = self.bundles.terms(self.bundles.of(ahead.channel), now)
+        return term if term == ahead.term else None
+
+    def filled(self, ahead: Ahead, box: Name, now: float) -> list[Action]:
+        """A part is filled, in the box of that digest: told to those who follow, unless a later owner is."""
+        self.reads.went(ahead.channel, ahead.part, ahead.term, True, now)
+        bundle = self.bundles.of(ahead.channel)
+        if not bundle.saw(ahead.term, now):
+            return []
+        life = self.rule.live_s
+        self.boxes.told(ahead.channel, ahead.part, box, ahead.term, life, now)
+        bundle.rate.add(now)
+        bundle.told = now
+        word = Carried(ahead.channel, ahead.term, ahead.part, box, int(life * 1000))
+        out: list[Action] = [Tell(peer, word, Urgency.NEWS) for peer in bundle.following(now)]
+        if bundle.former is not None and ahead.term == bundle.term:
+            took = Took(bundle.lease, ahead.term, bundle.former.term)
+            out.append(Tell(bundle.former.former, took, Urgency.LEASE))
+            bundle.former = None
+        return out
+
+    def failed(self, ahead: Ahead, now: float) -> None:
+        """A fill ahead was not written, or brought nothing: the next read tries again."""
+        self.reads.went(ahead.channel, ahead.part, ahead.term, False, now)
+
+    def carried(self, channel: Name, part: int, now: float) -> Name | None:
+        """The digest of the box that holds a part, as an owner said lately; a hint."""
+        return self.boxes.find(channel, part, now)
+
+    def drain(self, now: float) -> list[Action]:
+        """Give all bundles to others, and take no more."""
+        self.handoff.draining = True
+        self._wake(now)
+        return self.handoff.moves(now)
+
+    def drained(self, now: float) -> bool:
+        """Nothing is owned any more, nor filled under an old term."""
+        return all(self.bundles.terms(bundle, now) is None for bundle in self.bundles.all)
+
+    # --- as a part ---
+
+    def hear(self, sender: Peer, incarnation: int, note: Note, now: float) -> list[Action]:
+        match note:
+            case Carried():
+                bundle = self.bundles.of(note.channel)
+                if bundle.saw(note.term, now):
+                    life = note.life_ms / 1000
+                    if life > 0:  # else it only says that the owner is there
+                        self.boxes.told(note.channel, note.part, note.box, note.term, life, now)
+                    self._owner(bundle, sender, now)
+            case Load():
+                self.handoff.loads[sender] = (note.milli / 1000, now)
+            case Offer() | Ready() | Took():
+                known = self.bundles.by_lease.get(note.bundle)
+                if isinstance(note, Offer):
+                    return self.handoff.offered(sender, known, note, now)
+                if known is not None and isinstance(note, Ready):
+                    return self._ready(sender, known, note, now)
+                if known is not None and isinstance(note, Took) and known.saw(note.term, now):
+                    self._owner(known, sender, now)
+                    return self.handoff.over(known, now)
+        return []
+
+    def on(self, news: Local, now: float) -> list[Action]:
+        match news:
+            case LeaseTaken(lease=lease) if lease in self.bundles.by_lease:
+                return self._taken(self.bundles.by_lease[lease], news.term, now)
+            case LeaseLost(lease=lease) if lease in self.bundles.by_lease:
+                return self._lost(self.bundles.by_lease[lease], news.term, now)
+            case HolderSeen(lease=lease) if lease in self.bundles.by_lease:
+                self.bundles.by_lease[lease].saw(news.term, now)
+            case PeerChanged():
+                if news.standing is Standing.ALIVE:
+                    self.handoff.away.discard(news.peer)
+                elif news.standing is not Standing.UNKNOWN:
+                    self.handoff.away.add(news.peer)
+        return []
+
+    def tick(self, now: float) -> list[Action]:
+        if now < self._look:
+            return []
+        out, self._news = self._news, []
+        for channel in self.reads.ended(now):
+            self.bundles.of(channel.number).live.discard(channel.number)
+        self.boxes.end(now)
+        for bundle in self.bundles.all:
+            out += self._tend(bundle, now)
+        out += self._bids(now)
+        out += self.handoff.moves(now)
+        idle = not self.reads.table and not self.boxes.table
+        busy = any(bundle.term or bundle.wanted or bundle.overlap for bundle in self.bundles.all)
+        self._look = NEVER if idle and not busy and not self._news else now + LOOK_S
+        return out
+
+    def due(self) -> float:
+        return self._look
+
+    # --- finding the owner ---
+
+    def _owner(self, bundle: Bundle, peer: Peer, now: float) -> None:
+        if not bundle.term:
+            if bundle.owner != peer:
+                bundle.followed = -NEVER
+            bundle.owner, bundle.heard, bundle.bids_from = peer, now, None
+
+    def _tend(self, bundle: Bundle, now: float) -> list[Action]:
+        """One look at a bundle."""
+        out: list[Action] = []
+        if bundle.overlap is not None and self.bundles.terms(bundle, now) is None:
+            out += self.handoff.over(bundle, now)
+        if bundle.taking is not None:
+            out += self.handoff.take(bundle, bundle.taking, now)
+        if bundle.term:
+            return out + self._own(bundle, now)
+        if bundle.wanted and bundle.taking is None:
+            out += self._bidding(bundle, now)
+        if not bundle.live or self.handoff.draining or bundle.overlap is not None:
+            bundle.bids_from = None
+            return out
+        owner = bundle.owner
+        if owner is not None and now - bundle.followed >= FOLLOW_S:
+            bundle.followed = now
+            out.append(Tell(owner, Ready(bundle.lease, 0, 1), Urgency.NEWS))
+            out.append(Tell(owner, self.handoff.said(now), Urgency.ROUTINE))
+        lost = owner is None or owner in self.handoff.away or now - bundle.heard >= SILENT_S
+        # A lost owner's lease runs on for a while: a bid before its end would find it, and nothing else.
+        held = self._holder(bundle, now) is not None
+        if lost and bundle.bids_from is None and not bundle.wanted and not held:
+            bundle.bids_from = now + self.spread()
+        return out
+
+    def _holder(self, bundle: Bundle, now: float) -> Peer | None:
+        """Who has the lease as acceptors said, and has not denied it lately."""
+        holder = self.leases.holder(bundle.lease, now)
+        return None if holder == bundle.denied and now - bundle.denied_at < DENIED_S else holder
+
+    def spread(self) -> float:
+        """Seconds to wait before a bid, so drawn that of any number of routers up to `CROWD` few are first.
+
+        Evenly drawn waits of many would be closer to each other than an election takes, and all would be
+        lost to each other (as with suppressed feedback: Nonnenmacher and Biersack, 1999).
+        """
+        return SPREAD_S * max(0.0, 1 + math.log(1 - self.rng.random()) / math.log(CROWD))
+
+    def _bidding(self, bundle: Bundle, now: float) -> list[Action]:
+        """Take a bid back that has found another's lease, or that nobody here needs any more."""
+        holder = self._holder(bundle, now) if now - bundle.bid >= PATIENCE_S else None
+        if holder is None and bundle.live and not self.handoff.draining:
+            return []
+        bundle.wanted = False
+        if holder is not None and holder != bundle.owner:
+            self._owner(bundle, holder, now)
+        return self.leases.drop(bundle.lease, now)
+
+    def _bids(self, now: float) -> list[Action]:
+        """Bid for what has no owner, at a bounded pace, in no order."""
+        out: list[Action] = []
+        self._tokens = min(BIDS_BURST, self._tokens + max(0.0, now - self._filled) * BIDS)
+        self._filled = now
+        ready = [each for each in self.bundles.all if each.bids_from is not None and now >= each.bids_from]
+        self.rng.shuffle(ready)
+        for bundle in ready[: self.bids(ready)]:
+            self._tokens -= 1
+            bundle.bids_from, bundle.wanted, bundle.bid = None, True, now
+            out += self.leases.want(bundle.lease, now)
+        return out
+
+    def bids(self, ready: list[Bundle]) -> int:
+        return int(self._tokens)
+
+    def _ready(self, sender: Peer, bundle: Bundle, note: Ready, now: float) -> list[Action]:
+        """A follower's word, its answer that this router has nothing to follow, or the answer to an offer."""
+        if note.term == 0:
+            if bundle.term and note.yes:
+                if sender not in bundle.followers:
+                    bundle.told = -NEVER  # it is told at the next look whom it has found
+                bundle.followers[sender] = now
+            elif note.yes and bundle.overlap is None:
+                return [Tell(sender, Ready(bundle.lease, max(1, bundle.seen), 0), Urgency.NEWS)]
+            return []
+        if not note.yes and bundle.owner == sender:
+            # It is the owner no more, or what an acceptor told was of a lost election: the next look bids.
+            bundle.owner, bundle.denied, bundle.denied_at = None, sender, now
+        return self.handoff.ready(sender, bundle, note, now)
+
+    # --- owning ---
+
+    def _taken(self, bundle: Bundle, term: int, now: float) -> list[Action]:
+        bundle.saw(term, now)
+        bundle.term, bundle.taken, bundle.told = term, now, -NEVER
+        bundle.owner, bundle.bids_from, bundle.overlap = None, None, None
+        bundle.former, bundle.taking = bundle.taking, None
+        self._wake(now)
+        return [Owned(channel, term) for channel in sorted(bundle.live)]
+
+    def _lost(self, bundle: Bundle, term: int, now: float) -> list[Action]:
+        if bundle.term == term:
+            bundle.term, bundle.offered, bundle.former = 0, None, None
+            bundle.heard = now
+        return [Owned(channel, 0) for channel in sorted(bundle.live)]
+
+    def _own(self, bundle: Bundle, now: float) -> list[Action]:
+        """Say that the owner is there; give up what nobody reads here; go on with an offer."""
+        if not bundle.live or bundle.passed(bundle.term, now):
+            return self.handoff.give_up(bundle, now)
+        out: list[Action] = []
+        if now - bundle.told >= BEAT_S:
+            bundle.told = now
+            # No box, and no life: it only says that the owner is there.
+            said = Carried(min(bundle.live), bundle.term, 0, 0, 0)
+            out += [Tell(peer, said, Urgency.ROUTINE) for peer in bundle.following(now)]
+        offered = bundle.offered
+        return out if offered is None else out + self.handoff.offering(bundle, offered, now)
+
+    def _wake(self, now: float) -> None:
+        self._look = min(self._look, now + LOOK_S)
