--- /dev/null
+++ b/tests/test_channel_front.py
@@ -0,0 +1,132 @@
+"""Fills ahead as requests to the exchange: written only by who owns the channel then, blamed on nobody."""
+
+import random
+from collections.abc import Sequence
+from pathlib import Path
+
+import pytest
+from test_watch import Looker, Side, ask, made
+
+from paddlequay.asks import Attempt, End, Open, Reply, Stamp
+from paddlequay.cluster.ahead import channel_of
+from paddlequay.cluster.channels import Channels
+from paddlequay.cluster.notes import Carried, Ready
+from paddlequay.cluster.settings import ChannelRule
+from paddlequay.cluster.types import Action, Bounds, Fleet, Peer, Tell
+from paddlequay.exchange import Exchange
+from paddlequay.interface import Note, Outcome
+from paddlequay.net.caches import order_fields
+from paddlequay.net.channels import ChannelFront
+from paddlequay.placement.homes import digest
+
+NAME = "0000000000000007"
+
+
+class Granted:
+    """Leases that are held under a term, or not."""
+
+    term: int | None = 0x99
+
+    def want(self, lease: int, now: float) -> list[Action]:
+        return []
+
+    def drop(self, lease: int, now: float, heir: Peer | None = None) -> list[Action]:
+        return []
+
+    def holds(self, lease: int, now: float) -> int | None:
+        return self.term
+
+    def holder(self, lease: int, now: float) -> Peer | None:
+        return None
+
+
+class Watching(Looker):
+    """Hands on what the exchange tells its watch, as who watches for several does."""
+
+    front: ChannelFront
+
+    def asked(self, item: Open, left: float) -> float | None:
+        self.front.asked(item)
+        return None
+
+    def writing(self, attempt: Attempt, left: float) -> Note | None:
+        return self.front.writing(attempt)
+
+    def over(self, item: Open) -> None:
+        self.front.over(item)
+
+
+class Rig:
+    def __init__(self, folder: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.exchange: Exchange
+        self.exchange, _, self.side = made(folder)
+        self.leases, self.told = Granted(), list[Action]()
+        rule = ChannelRule(("video",), bundles=1)
+        rng = random.Random(1)
+        self.channels = Channels(Fleet(0, 3, (0, 1, 2), "here"), Bounds(), rule, self.leases, rng, 10.0)
+        bundle = self.channels.bundles.all[0]
+        bundle.term = 0x99
+        self.channels.hear(2, 0, Ready(bundle.lease, 0, 1), 10.0)
+        watch = Watching()
+        watch.front = self.front = ChannelFront(
+            self.channels, "here", self.exchange, self.exchange.counters, self.tell, lambda: 10.0
+        )
+        self.exchange.watch = watch
+        later = self.exchange.scheduler.later
+        monkeypatch.setattr(
+            self.exchange.scheduler, "later", lambda delay, call: later(delay, call) if delay else call()
+        )
+
+    def tell(self, actions: Sequence[Action]) -> None:
+        self.told += actions
+
+    def read(self, *parts: int) -> Side:
+        for part in parts:
+            request = ask(f"client {part}")
+            request.part = part
+            self.exchange.ask(request, lambda reply: None)
+        return self.side
+
+
+def test_the_next_part_is_asked_for_under_the_term_and_told_with_its_box(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    rig = Rig(tmp_path, monkeypatch)
+    ahead = next(each for each in rig.read(1, 2, 3).started if each.id.startswith("ahead"))
+    order = rig.exchange.order(ahead)
+    assert order is not None and order.part == 4
+    assert order_fields(order)["term"] == "99"
+    assert order_fields(order)["chan"] == f"{channel_of('here', NAME):x}"
+    rig.exchange.end(ahead, End(Outcome.SERVED, stamp=Stamp("t", 1.0)))
+    (word,) = rig.told
+    assert isinstance(word, Tell) and word.to == 2 and isinstance(word.note, Carried)
+    assert (word.note.part, word.note.box, word.note.term) == (4, digest("box"), 0x99)
+    assert not rig.front.out
+    # The hint that comes of it reaches the decisions with the client's own request.
+    rig.exchange.router.know.hotness.table.clear()
+    rig.read(4)
+    assert rig.exchange.router.know.hotness.table[(7, 4)].holders.keys() == {"box"}
+
+
+def test_a_fill_whose_owner_has_lost_its_lease_is_not_written_and_no_member_is_blamed(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    rig = Rig(tmp_path, monkeypatch)
+    ahead = next(each for each in rig.read(1, 2, 3).started if each.id.startswith("ahead"))
+    count, box = len(rig.side.started), rig.exchange.router.know.members.servers["box"]
+    limit = box.limit
+    rig.leases.term = None
+    assert rig.exchange.order(ahead) is None
+    assert ahead.id not in rig.exchange.ids and not rig.front.out and not rig.told
+    assert len(rig.side.started) == count and box.failures == 0 and box.limit == limit
+    assert rig.read(9).started[-1].id == "client 9"  # and nothing is asked ahead without it
+
+
+def test_nothing_is_asked_ahead_of_requests_that_make_no_channel(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    rig = Rig(tmp_path, monkeypatch)
+    replies: list[Reply] = []
+    for number in range(5):
+        rig.exchange.ask(ask(f"c{number}", "charge"), replies.append)
+    assert not any(each.id.startswith("ahead") for each in rig.side.started)
