Agree on placement tables by epochs that a majority has alike

Routers each compile the same rules with their own list, and lists come seconds apart: without a word in common each would move objects at another moment, and a router cut off would follow an old table for good.

cluster/tables.py says at the moment of use which epoch holds; cluster/epochs.py is the holder's side: an epoch is the term of the lease with a number under it, names one digest for good, and is declared once a majority of all routers has answered it with that digest. What a majority has goes before the holder's own, so a late or odd holder stands in nobody's way. A router without word of its epoch for Bounds.epoch places as without a file. lab/table_world.py runs it with real leases, outboxes and wire on clocks of 0.95 to 1.05.

--- /dev/null
+++ b/tests/cluster/test_tables.py
@@ -0,0 +1,358 @@
+"""Tables in the fleet: which epoch is in use where, through losses, cuts, stops, late lists. True seconds."""
+
+from collections.abc import Callable
+
+import pytest
+
+from paddlequay.cluster import epochs
+from paddlequay.cluster.epochs import Content, Declared, Declarer, Proposal, epoch_of
+from paddlequay.cluster.notes import Has, Table
+from paddlequay.cluster.tables import KEPT_MOST, Tables
+from paddlequay.cluster.types import Action, Bounds, Fleet, LeaseTaken, TableChanged, Tell, Urgency
+from paddlequay.lab.table_world import BOUNDS, FaultError, World, digest_of
+
+KEPT = BOUNDS.epoch / 0.95  # for how long the slowest clock lets a router keep to its epoch
+AGREED = 15.0  # seconds after which all are alike that hear each other and have the same list
+
+
+def settled(size: int, seed: int, kind: type[Tables] = Tables) -> World:
+    world = World(size, seed, kind)
+    assert world.run(AGREED, world.alike) is not None
+    return world
+
+
+def troubled(seed: int, kind: type[Tables] = Tables, seconds: float = 60.0) -> World:
+    """Everything that can happen, some of it each second, to five routers."""
+    world = World(5, seed, kind, delay=(0.001, 0.3))
+    rng = world.rng
+    listed = rules = 1
+    for _ in range(int(seconds)):
+        world.loss = rng.choice((0.0, 0.2, 0.5))
+        what, me = rng.randrange(8), rng.randrange(5)
+        if what == 0:
+            others = [peer for peer in range(5) if rng.random() < 0.5]
+            world.part(others, [peer for peer in range(5) if peer not in others])
+        elif what == 1:
+            world.heal()
+        elif what == 2:
+            world.processes[me].stopped = True
+        elif what == 3:
+            world.go_on(me)
+        elif what == 4:
+            world.restart(me)
+        elif what in (5, 6):
+            listed = rng.choice((listed + 1, max(1, listed - 1)))
+            world.change(range(5), rules, listed, within=2.0)
+        elif rng.random() < 0.2:
+            rules += 1
+            world.change([peer for peer in range(5) if rng.random() < 0.6], rules, listed, within=1.0)
+        world.run(rng.uniform(0.2, 1.8))
+    world.loss = 0.0
+    world.run(2.0)
+    world.change(range(5), rules, listed)
+    world.run(0.01)
+    world.heal()
+    return world
+
+
+def healed(world: World) -> float | None:
+    rules, listed = world.own[0]
+    return world.run(AGREED, lambda: world.alike(digest=digest_of(rules, listed)))
+
+
+def test_no_epoch_goes_back_or_names_two_tables_and_all_agree_after_a_heal() -> None:
+    took = []
+    for seed in range(25):
+        world = troubled(seed)
+        took.append(healed(world))
+        assert len(world.digests) >= 3
+    assert None not in took
+
+
+# --- each guard taken out ---
+
+
+class GoesBack(Tables):
+    def later(self, epoch: int) -> bool:
+        return self.active is None or epoch != self.active.epoch
+
+
+class TakesAny(Tables):
+    """Takes an epoch up with the table that it has."""
+
+    def may(self, declared: Declared) -> bool:
+        return self.own.table != 0
+
+    def _take(self, declared: Declared, now: float) -> list[Action]:
+        return super()._take(Declared(declared.epoch, self.own), now)
+
+
+class WithoutTerm(Tables):
+    """Numbers its epochs from those that it has heard of."""
+
+    class declarers(Declarer):  # noqa: N801
+        def begin(self, term: int, active: Declared | None, now: float) -> None:
+            super().begin(term, active, now)
+            self.number = 0 if active is None else active.epoch & 0xFFFFFFFF
+
+        def propose(self, now: float) -> list[Action]:
+            term, self.term = self.term, 1
+            try:
+                return super().propose(now)
+            finally:
+                self.term = term
+
+
+@pytest.mark.parametrize("kind", [GoesBack, TakesAny, WithoutTerm])
+def test_the_world_sees_a_guard_that_is_taken_out(kind: type[Tables]) -> None:
+    def search() -> None:
+        for seed in range(25):
+            troubled(seed, kind)
+
+    with pytest.raises(FaultError):
+        search()
+
+
+# --- named cases ---
+
+
+def test_two_holders_in_sequence_propose_at_once_and_the_later_ones_epoch_stays() -> None:
+    world = settled(5, 1)
+    first = world.holder()
+    assert first is not None
+    rest = [peer for peer in range(5) if peer != first]
+    world.change([first], 1, 2)
+    world.change(rest, 1, 3)
+    world.run(0.3)
+    world.processes[first].stopped = True  # with its proposal out
+    assert world.run(AGREED, lambda: world.alike(rest, digest_of(1, 3))) is not None
+    later = world.processes[rest[0]].use()[0]
+    world.change([first], 1, 3)
+    world.go_on(first)
+    assert world.run(AGREED, lambda: world.alike(digest=digest_of(1, 3))) is not None
+    assert world.processes[rest[0]].use()[0] == later
+
+
+def test_who_returns_two_epochs_behind_is_told_at_once_and_never_used_what_came_between() -> None:
+    world = settled(5, 2)
+    world.part([4], range(4))
+    for listed in (2, 3):
+        world.change(range(4), 1, listed)
+        assert world.run(AGREED, lambda: world.alike(range(4))) is not None
+        world.run(2.0)
+    world.change([4], 1, 3)
+    world.run(0.1)
+    before = len(world.processes[4].moves)
+    world.heal()
+    took = world.run(AGREED, world.alike)
+    assert took is not None and took <= 1.2  # a second of it until the end of the cut is known
+    assert len(world.processes[4].moves) == before + 1
+
+
+def test_a_third_that_is_cut_off_while_rules_change_keeps_to_its_epoch_and_then_to_none() -> None:
+    world = settled(9, 3)
+    old, lost = world.processes[8].use(), [6, 7, 8]
+    world.part(lost, range(6))
+    world.change(range(6), 2, 1, within=3.0)
+    assert world.run(AGREED, lambda: world.alike(range(6), digest_of(2, 1))) is not None
+    world.run(10.0)
+    assert {world.processes[peer].use() for peer in lost} == {old}
+    world.run(KEPT)
+    assert {world.processes[peer].use() for peer in lost} == {(None, None)}
+    assert all("table_given_up" in [say.event for say in world.processes[peer].said] for peer in lost)
+    assert world.alike(range(6), digest_of(2, 1))  # the others are told again and again
+    world.heal()
+    world.change(lost, 2, 1)
+    assert world.run(AGREED, world.alike) is not None
+    assert world.processes[8].moves[-1].former is None  # no table was in use there before
+
+
+def test_a_stopped_router_sees_at_once_that_its_epoch_is_over() -> None:
+    world = settled(3, 4)
+    process = world.processes[2]
+    process.stopped = True
+    world.run(KEPT + 5.0)
+    assert process.use() == (None, None)  # before it was told anything
+
+
+def test_a_rollback_is_a_new_epoch_with_the_earlier_table() -> None:
+    world = settled(5, 5)
+    first = world.processes[0].use()
+    for rules in (2, 1):
+        world.change(range(5), rules, 1, within=0.5)
+        assert world.run(AGREED, lambda rules=rules: world.alike(digest=digest_of(rules, 1))) is not None  # type: ignore[misc]
+    last = world.processes[0].use()
+    assert first[1] == last[1] and first[0] is not None and last[0] is not None and last[0] > first[0]
+    moved = world.processes[0].moves[-1]
+    assert moved.former == digest_of(2, 1) and moved.former_until > world.processes[0].clock
+
+
+@pytest.mark.parametrize("late", [(0, 1, 2), (3, 4, 5)])
+def test_news_of_the_list_late_at_half_the_routers_leave_all_at_the_epoch_before(
+    late: tuple[int, ...],
+) -> None:
+    world = settled(6, 6)
+    old = world.processes[0].use()
+    world.change([peer for peer in range(6) if peer not in late], 1, 2)
+    world.run(KEPT + 5.0)  # longer than anybody keeps to an epoch without a word
+    assert {process.use() for process in world.processes} == {old}
+    world.change(late, 1, 2)
+    took = world.run(AGREED, lambda: world.alike(digest=digest_of(1, 2)))
+    assert took is not None and took <= 0.5
+    assert any(say.event == "tables_differ" for process in world.processes for say in process.said)
+
+
+def test_a_holder_killed_between_majority_and_declaration_costs_a_lease_and_no_epoch() -> None:
+    world = settled(5, 7)
+    holder = world.holder()
+    assert holder is not None
+    process, rest = world.processes[holder], [peer for peer in range(5) if peer != holder]
+    world.change(range(5), 1, 2)
+    declarer = process.tables.declarer
+
+    def agreed() -> bool:
+        # From now on nothing of its own goes out; what it hears is a majority.
+        if declarer.proposal is not None:
+            world.cuts |= {(holder, peer) for peer in rest if declarer.answers}
+        return declarer.declared is not None and declarer.declared.content.table == digest_of(1, 2)
+
+    assert world.run(3.0, agreed, step=0.002) is not None
+    assert not any(world.processes[peer].use()[1] == digest_of(1, 2) for peer in rest)
+    process.dead = True
+    took = world.run(AGREED, lambda: world.alike(rest, digest_of(1, 2)))
+    assert took is not None and took <= 3.0
+
+
+def test_a_holder_with_other_rules_declares_what_the_majority_has_and_gives_its_own_up() -> None:
+    world = settled(5, 8)
+    holder = world.holder()
+    assert holder is not None
+    rest = [peer for peer in range(5) if peer != holder]
+    world.change(rest, 2, 1)
+    assert world.run(AGREED, lambda: world.alike(rest, digest_of(2, 1))) is not None
+    assert world.processes[holder].use()[1] == digest_of(1, 1)
+    world.run(KEPT)
+    assert world.processes[holder].use() == (None, None)
+    assert {"table_lacking", "table_given_up"} <= {say.event for say in world.processes[holder].said}
+    assert world.alike(rest, digest_of(2, 1)) and len(world.digests) <= 4  # no to and fro
+
+
+# --- one router ---
+
+
+def one(me: int = 0, holds: Callable[[int, float], int | None] = lambda *_: None) -> Tables:
+    tables = Tables(Fleet(me, 5, (0, 1, 2)), Bounds(), holds)
+    tables.compiled(1, 10, 0.0)
+    return tables
+
+
+def term_of(counter: int, peer: int) -> int:
+    return counter << 32 | peer << 16 | 1
+
+
+def test_the_holder_declares_nothing_by_a_lease_that_ended_while_it_stood_still() -> None:
+    term, held = term_of(3, 0), [True]
+    tables = one(0, lambda *_: term if held[0] else None)
+    assert any(isinstance(a, Tell) for a in tables.on(LeaseTaken(epochs.LEASE, term, 9.0), 0.0))
+    held[0] = False
+    answers = [tables.hear(peer, 1, Has(1, term, 10, 0), 5.0) for peer in (1, 2, 3, 4)]
+    assert answers == [[]] * 4 and tables.in_use(5.0) is None
+
+
+def test_only_answers_to_this_epoch_count_for_its_majority() -> None:
+    term = term_of(3, 0)
+    tables = one(0, lambda *_: term)
+    tables.on(LeaseTaken(epochs.LEASE, term, 9.0), 0.0)
+    for peer in (1, 2, 3, 4):
+        tables.hear(peer, 1, Has(7, term_of(2, 1), 10, 0), 0.1)
+    assert tables.in_use(0.2) is None
+    tables.hear(1, 1, Has(1, term, 10, 0), 0.2)
+    assert tables.in_use(0.2) is None
+    tables.hear(2, 1, Has(1, term, 10, 0), 0.2)
+    assert tables.in_use(0.2) == epoch_of(term, 1)
+
+
+def test_an_answer_that_was_overtaken_does_not_undo_the_later_one() -> None:
+    term = term_of(3, 0)
+    declarer = Declarer(Fleet(0, 5, (0, 1, 2)), Bounds(), lambda *_: term)
+    declarer.begin(term, None, 0.0)
+    declarer.heard(1, 1, Has(2, term, 10, 0), 0.0)
+    declarer.heard(1, 1, Has(1, term, 9, 0), 0.0)
+    proposal = Proposal(epoch_of(term, 2), Content(10), 0.0, epochs.Tries())
+    assert declarer.answers[1].table == 10 and not declarer.agreed(proposal)
+
+
+def test_a_lease_whose_term_is_below_epochs_in_use_is_taken_anew() -> None:
+    term, retaken = term_of(3, 0), list[float]()
+    tables = Tables(Fleet(0, 5, (0,)), Bounds(), lambda *_: term, lambda now: retaken.append(now) or [])  # type: ignore[func-returns-value]
+    tables.on(LeaseTaken(epochs.LEASE, term, 9.0), 0.0)
+    for at in (1.0, 2.0):
+        tables.hear(3, 1, Has(1, term_of(8, 2), 10, 0), at)
+    assert retaken == [1.0]
+
+
+def test_a_declaration_finds_a_table_that_the_list_has_moved_on_from_within_a_bound() -> None:
+    tables, term = one(3), term_of(3, 1)
+    for table in range(11, 11 + KEPT_MOST):
+        tables.compiled(1, table, 1.0)
+    assert tables.hear(1, 1, Table(1, term, 10, 1, 1), 1.0)[0] == Tell(1, Has(1, term, 14, 0), Urgency.NEWS)
+    told = tables.hear(1, 1, Table(2, term, 11, 1, 1), 1.0)
+    assert told[0] == TableChanged(epoch_of(term, 2), 11, None, 1.0)
+    for table in range(20, 40):
+        tables.compiled(1, table, 2.0)
+    assert tables.table(2.0) == 11 and 11 in tables.needed(2.0) and len(tables.needed(2.0)) <= KEPT_MOST + 2
+
+
+def test_rules_that_are_not_compiled_yet_agree_with_nothing() -> None:
+    tables, term = one(3), term_of(3, 1)
+    tables.wanted(2, 1.0)
+    assert tables.hear(1, 1, Table(1, term, 10, 1, 0), 1.0) == [Tell(1, Has(1, term, 0, 0), Urgency.NEWS)]
+
+
+def test_numbers_past_an_epochs_bits_are_passed_over() -> None:
+    tables = one(3)
+    assert tables.hear(1, 1, Table(1 << 32, term_of(3, 1), 10, 1, 1), 1.0) == []
+
+
+def test_a_table_declared_before_it_is_compiled_is_taken_up_by_the_compile() -> None:
+    tables, term = one(3), term_of(3, 1)
+    tables.hear(1, 1, Table(1, term, 10, 1, 1), 1.0)
+    tables.hear(1, 1, Table(2, term, 11, 1, 1), 2.0)
+    assert tables.table(2.0) == 10
+    assert TableChanged(epoch_of(term, 2), 11, 10, 63.0) in tables.compiled(1, 11, 3.0)
+
+
+def test_an_epoch_that_another_followed_is_not_kept_alive_by_late_word_of_it() -> None:
+    tables, term = one(3), term_of(3, 1)
+    tables.hear(1, 1, Table(1, term, 10, 1, 1), 1.0)
+    tables.hear(1, 1, Table(2, term, 11, 1, 1), 2.0)
+    tables.hear(1, 1, Table(1, term, 10, 1, 1), 20.0)
+    assert tables.in_use(30.9) == epoch_of(term, 1) and tables.in_use(31.0) is None
+
+
+def holder() -> Declarer:
+    """The holder under a second term, which has in use what the one before it declared."""
+    declarer = Declarer(Fleet(0, 5, (0, 1, 2)), Bounds(), lambda *_: term_of(4, 0))
+    declarer.compiled(Content(10), 0.0)
+    declarer.begin(term_of(4, 0), Declared(epoch_of(term_of(3, 1), 1), Content(10)), 0.0)
+    return declarer
+
+
+def test_a_later_holder_repeats_the_epoch_before_until_it_hears_of_one_that_came_after() -> None:
+    declarer = holder()
+    former = Table(1, term_of(3, 1), 10, 0, 1)
+    assert Tell(None, former) in declarer.tick(0.0)[0]
+    assert Tell(2, former, Urgency.NEWS) in declarer.alive(2, 0.1)
+    declarer.heard(2, 1, Has(1, term_of(4, 0), 11, epochs.mark(epoch_of(term_of(3, 1), 2))), 0.1)
+    assert declarer.declared is None
+
+
+def test_a_proposal_goes_again_to_who_has_not_answered_or_has_another_table() -> None:
+    declarer = holder()
+    declarer.tick(0.0)
+    declarer.heard(1, 1, Has(1, term_of(4, 0), 10, 0), 0.1)
+    declarer.heard(2, 1, Has(1, term_of(4, 0), 11, 0), 0.1)
+    note = Table(1, term_of(4, 0), 10, 0, 0)
+    again = [action for action in declarer.tick(0.2)[0] if isinstance(action, Tell) and action.note == note]
+    assert [tell.to for tell in again] == [2, 3, 4]
+    assert declarer.tick(0.3)[0] == [] and declarer.due() < 0.7
