--- a/paddlequay/lab/limit_search.py
+++ b/paddlequay/lab/limit_search.py
@@ -25,7 +25,7 @@
     """Two levels and a limit on places, now and then in the open mode."""
     mode = rng.choice((Mode.STRICT, Mode.STRICT, Mode.OPEN))
     over = rng.choice((1.2, 1.5, 2.0))
-    floor = rng.choice((0.0, 0.2, 0.5))
+    floor = rng.choice((0.0, 0.2, 0.5, 1.0))
     rate = rng.choice((20.0, 60.0, 150.0))
     rules = (
         LimitRule(
--- a/paddlequay/lab/limit_world.py
+++ b/paddlequay/lab/limit_world.py
@@ -36,6 +36,7 @@
     ticks: float = -1.0
     side: int = 0
     loss: float = 0.0  # of its notes, either way
+    started: int = 0  # requests admitted
     far: float = 0.0  # seconds by which what it is sent is late at most
 
     def clock(self, at: float) -> float:
@@ -141,6 +142,7 @@
         lasts = proc.lasts
         got = proc.limits.admit_all(WHAT, proc.clock(self.now), lasts)
         if not isinstance(got, Refused):
+            proc.started += 1
             # As long as it may, or shorter; where it is cut short the router says so.
             held = lasts * self.rng.choice((0.2, 0.6, 1.0)) / proc.rate
             limits = proc.limits
--- /dev/null
+++ b/tests/cluster/test_limits_part.py
@@ -0,0 +1,185 @@
+"""One router's limits and one holder's grants, each by itself."""
+
+import pytest
+
+from paddlequay.cluster.buckets import Asked
+from paddlequay.cluster.granter import Granter, Kept
+from paddlequay.cluster.limits import Limits, Refused, Ticket, lease_of, limit_of
+from paddlequay.cluster.notes import Grant, Need
+from paddlequay.cluster.settings import By, LimitRule, Mode
+from paddlequay.cluster.share import NOTHING, Share, whole
+from paddlequay.cluster.types import Action, Bounds, Fleet, HolderSeen, LeaseTaken, Tell
+
+RATE = LimitRule("rate", By.CLASS, "c", rate=100.0, burst=30.0, floor=0.0)
+
+
+def alone(*rules: LimitRule, holds: int | None = 1, size: int = 1, **more: int) -> Limits:
+    """A router that holds all leases, or none, and began at 0."""
+    return Limits(Fleet(0, size), Bounds(), rules, lambda lease, now: holds, 7, 0.0, **more)  # type: ignore[arg-type]
+
+
+def test_two_levels_hold_together_and_leak_nothing() -> None:
+    outer = LimitRule("class", By.CLASS, "*", rate=10.0, burst=10.0, floor=1.0)
+    inner = LimitRule("tenant", By.TENANT, "*", rate=1.0, burst=3.0, floor=1.0)
+    places = LimitRule("source", By.SOURCE, "s", at_once=2, floor=1.0)
+    limits = alone(outer, inner, places)
+    now = 100.0
+    what = ((By.CLASS, "c"), (By.TENANT, "t"), (By.SOURCE, "s"))
+    first = limits.admit_all(what, now, 1.0)
+    second = limits.admit_all(what, now, 1.0)
+    assert isinstance(first, Ticket) and isinstance(second, Ticket)
+    for _ in range(20):
+        refused = limits.admit_all(what, now, 1.0)
+        assert isinstance(refused, Refused) and refused.rule == "source"
+    limits.done(first, now)
+    limits.done(first, now)
+    assert isinstance(limits.admit_all(what, now, 1.0), Ticket)
+    limits.done(second, now)
+    # The tenant's tokens are used; of the class's ten only three are, whatever was refused in between.
+    refused = limits.admit_all(what, now, 1.0)
+    assert isinstance(refused, Refused) and refused.rule == "tenant" and 0.9 < refused.retry_in <= 1.0
+    assert sum(isinstance(limits.admit(By.CLASS, "c", now, 1.0), Ticket) for _ in range(20)) == 7
+    # A place whose request never ends is free after its time-out.
+    assert isinstance(limits.admit(By.SOURCE, "s", now + 1.01, 1.0), Ticket)
+    assert isinstance(limits.admit(By.SOURCE, "s", now + 1.01, 1.0), Ticket)
+
+
+class GoesAtOnce(Limits):
+    """Lets go of a limit that is in use."""
+
+    def may_go(self, line: object, now: float) -> bool:
+        return True
+
+
+def test_values_are_bounded_and_going_gains_nothing() -> None:
+    rule = LimitRule("tenant", By.TENANT, "*", rate=1.0, burst=3.0, floor=1.0)
+    for kind, most in ((Limits, 3), (GoesAtOnce, 6)):
+        limits = kind(Fleet(0, 1), Bounds(), [rule], lambda lease, now: None, 7, 0.0, keys_most=2)
+        got = [isinstance(limits.admit(By.TENANT, "a", 50.0, 1.0), Ticket) for _ in range(5)]
+        assert got == [True] * 3 + [False] * 2
+        for value in ("b", "b", "c", "d"):
+            limits.admit(By.TENANT, value, 50.0, 1.0)
+        assert len(limits.lines) == 2
+        again = sum(isinstance(limits.admit(By.TENANT, "a", 50.0, 1.0), Ticket) for _ in range(3))
+        assert 3 + again == most
+    # Full again, one goes for another.
+    limits = alone(rule, holds=None, keys_most=2)
+    for value, now in (("a", 50.0), ("b", 50.0), ("c", 54.0)):
+        assert isinstance(limits.admit(By.TENANT, value, now, 1.0), Ticket)
+
+
+def told(actions: list[Action]) -> Need:
+    (tell,) = actions
+    assert isinstance(tell, Tell) and isinstance(tell.note, Need)
+    return tell.note
+
+
+def test_answers_to_no_need_are_void_and_nobody_without_demand_asks() -> None:
+    limits = alone(RATE, holds=None, size=3)
+    limits.on(HolderSeen(lease_of(RATE), 2, 5), 10.0)
+    assert limits.due() == float("inf")
+    assert isinstance(limits.admit(By.CLASS, "c", 10.0, 1.0), Refused)
+    assert limits.due() == 10.0
+    need = told(limits.tick(10.0))
+    assert need.limit == limit_of(lease_of(RATE), "c") and need.term == 5
+    limit, number = need.limit, need.number
+    for void in (
+        Grant(limit, number + 1, 5, 50_000, 9_000, 600),
+        Grant(limit, number, 4, 50_000, 9_000, 600),
+        Grant(limit + 1, number, 5, 50_000, 9_000, 600),
+    ):
+        limits.hear(2, 1, void, 10.1)
+        assert limits.lines[limit].store.extra == NOTHING
+    # More than there is, for longer than there is, is no more than what there is.
+    limits.hear(2, 1, Grant(limit, number, 5, 2**62, 2**62, 2**40), 10.1)
+    store = limits.lines[limit].store
+    assert store.extra == Share(100_000, 30_000) and store.until == pytest.approx(10.57)
+    limits.hear(2, 1, Grant(limit, number, 5, 1, 1, 600), 10.1)
+    assert store.extra == Share(100_000, 30_000)
+    # No demand any more: the last Needs end, and so does the share.
+    now = 10.2
+    for _ in range(20):
+        limits.tick(now)
+        now += 0.2
+    assert limits.due() == float("inf") and isinstance(limits.admit(By.CLASS, "c", now, 1.0), Refused)
+
+
+def test_holder_counts_out_what_it_told_and_hears_no_need_twice() -> None:
+    kept = Kept(lease_of(RATE), whole(RATE, 4), Mode.STRICT, 0.6)
+    term: list[int | None] = [3]
+    granter = Granter(Bounds(), 4, lambda lease, now: term[0])
+    limit = limit_of(kept.lease, "c")
+    granter.taken(kept.lease, 3, 0.0)
+    assert granter.need(kept, 1, 1, Need(limit, 1, 90_000, 0), 0.65) is None
+    first = granter.need(kept, 1, 1, Need(limit, 2, 90_000, 0), 0.67)
+    assert first is not None and first.milli == 100_000
+    assert granter.need(kept, 1, 1, Need(limit, 2, 90_000, 0), 0.68) is None
+    second = granter.need(kept, 2, 1, Need(limit, 1, 90_000, 0), 0.7)
+    assert second is not None and second.milli == 0
+    lowered = granter.need(kept, 1, 1, Need(limit, 3, 90_000, 0), 0.8)
+    assert lowered is not None and lowered.milli == 50_000
+    still = granter.need(kept, 2, 1, Need(limit, 2, 90_000, 0), 0.67 + 0.65)
+    assert still is not None and still.milli == 0
+    free = granter.need(kept, 2, 1, Need(limit, 3, 90_000, 0), 0.67 + 0.67)
+    assert free is not None and free.milli == 50_000
+    assert granter.need(kept, 2, 1, Need(limit, 4, 90_000, 9), 1.4) is None  # it has heard a later holder
+    term[0] = None
+    assert granter.need(kept, 2, 1, Need(limit, 5, 90_000, 3), 1.4) is None
+    term[0] = 8
+    assert granter.need(kept, 2, 1, Need(limit, 6, 90_000, 3), 1.5) is None
+    assert granter.need(kept, 2, 1, Need(limit, 7, 90_000, 3), 2.17) is not None
+
+
+def test_holder_feeds_itself_and_routers_that_hear_of_no_holder_ask_all() -> None:
+    limits = alone(RATE, size=2)
+    limits.on(LeaseTaken(lease_of(RATE), 1, 2.0), 0.0)
+    assert isinstance(limits.admit(By.CLASS, "c", 1.0, 1.0), Refused)
+    assert limits.tick(1.0) == []
+    assert isinstance(limits.admit(By.CLASS, "c", 1.1, 1.0), Ticket)
+    lost = alone(RATE, holds=None, size=2)
+    lost.admit(By.CLASS, "c", 1.0, 1.0)
+    (tell,) = lost.tick(1.0)
+    assert isinstance(tell, Tell) and tell.to is None
+    lost.admit(By.CLASS, "c", 1.1, 1.0)
+    assert lost.tick(1.3) == []
+
+
+def test_demand_is_steady_in_noise_and_quick_in_a_shift() -> None:
+    asked = Asked(0.0, 0.2)
+    for window, many in enumerate((8, 11, 9, 12, 10, 9, 11, 10)):
+        for _ in range(many):
+            asked.add(window * 0.2 + 0.1)
+    assert 47_000 < asked.rate(1.6) < 53_000
+    for n in range(30):
+        asked.add(1.6 + n * 0.002)
+    assert asked.rate(1.66) > 400_000
+    assert asked.rate(1.8) == 150_000
+    assert asked.rate(2.01) == 0
+
+
+def test_a_value_is_not_let_go_for_another_of_the_same_request() -> None:
+    rules = (
+        LimitRule("class", By.CLASS, "*", rate=1.0, burst=3.0, floor=1.0),
+        LimitRule("tenant", By.TENANT, "*", rate=1.0, burst=3.0, floor=1.0),
+    )
+    limits = alone(*rules, holds=None, keys_most=1)
+    what = ((By.CLASS, "c"), (By.TENANT, "t"))
+    assert limits.admit_all(what, 50.0, 1.0) == Refused("tenant", Bounds().grant)
+    assert len(limits.lines) == 1
+
+
+def test_a_share_that_lets_no_request_through_is_left_to_others() -> None:
+    rule = LimitRule("rate", By.CLASS, "c", rate=90.0, burst=3.5, floor=0.0)
+    kept = Kept(lease_of(rule), whole(rule, 3), Mode.STRICT, 0.6)
+    granter = Granter(Bounds(), 3, lambda lease, now: 1)
+    granter.taken(kept.lease, 1, -1.0)
+    limit = limit_of(kept.lease, "c")
+    bursts = []
+    for number, (peer, now) in enumerate(
+        ((0, 0.0), (1, 0.1), (0, 0.2), (1, 0.67), (2, 0.7), (0, 0.75), (2, 0.9))
+    ):
+        grant = granter.need(kept, peer, 1, Need(limit, number + 1, 90_000, 0), now)
+        assert grant is not None
+        bursts.append(grant.burst_milli)
+    # At 0.9 the first's two shares are 1750 and 1166, the second's is 1750: nothing whole is left.
+    assert bursts == [3500, 0, 1750, 1750, 0, 1166, 0]
