Join limits, leases and words into the router, off unless an installation sets them

Need: routers learn of failing parents alone, and limits are guesses at an even share. cluster/node.py composes the parts, net/sharing.py joins them with the exchange: a leave for each request under a limit, asked for anew where it is not written within 0.1 s (a stopped process acts on nothing it held); evidence from the ends of attempts; the fleet's word to the decisions. Beside a newer process the older one leaves first, so that one share is never used twice.

--- a/paddlequay/__main__.py
+++ b/paddlequay/__main__.py
@@ -32,6 +32,7 @@
 
 if TYPE_CHECKING:
     from paddlequay.net.members import Members
+    from paddlequay.net.sharing import Sharing
 
 LOGGER = logging.getLogger("paddlequay.main")
 
@@ -63,6 +64,7 @@
         self.twin.on_alone = self.settle
         self.console = Console(self.operation, self.front, self.twin, self.limits, self.counters)
         self.members = self.discovery()
+        self.sharing = self.cluster()
         try:
             self.follower.start_from(config.known)
         except bulletin.MalformedError as error:
@@ -91,6 +93,26 @@
         self.console.queries["members"] = members.explain
         return members
 
+    def cluster(self) -> "Sharing | None":
+        """What the routers share, where a settings file of the installation says so and peers are allowed."""
+        path = os.environ.get("PADDLEQUAY_CLUSTER")
+        if not path:
+            return None
+        from paddlequay.net.sharing import Sharing
+        from paddlequay.schema.cluster import read_cluster
+
+        settings = read_cluster(Path(path))
+        if self.config.peering is None:
+            log.event(LOGGER, logging.WARNING, "cluster_off", why="the platform allows or names no peers")
+            return None
+        try:
+            sharing = Sharing(settings, self.config.peering, self.config, self.exchange, self.counters)
+        except ValueError as error:
+            raise ConfigError(f"{path}: {error}") from None
+        self.exchange.watch = sharing
+        self.console.pages["cluster"] = sharing.page
+        return sharing
+
     @staticmethod
     def bind(name: str, address: Address) -> socket.socket:
         try:
@@ -124,6 +146,8 @@
     def give_way(self) -> None:
         """Beside a newer process that takes clients: keep what there is, and have it become less."""
         self.front.giving_way = True
+        if self.sharing is not None:
+            self.sharing.stop()
         self.twin.give(Held(len(self.front.sessions), len(self.pool.held())))
 
     def make_way(self) -> None:
@@ -197,9 +221,13 @@
         limits = self.limits
         if self.members is not None:
             self.members.start()
+        if self.sharing is not None:
+            await self.sharing.start()
         log.event(LOGGER, logging.INFO, "started", cores=limits.cores, clients=limits.client_connections)
         await self.take_over()
         await self.stop.wait()
+        if self.sharing is not None:
+            self.sharing.leave()
         await self.end()
         for task in tasks:
             task.cancel()
@@ -207,6 +235,8 @@
                 await task
         if self.members is not None:
             self.members.stop()
+        if self.sharing is not None:
+            self.sharing.stop()
         self.twin.close()
         self.counters.print("exit")
 
@@ -268,7 +298,7 @@
     # Requests leave no cycles behind, and a full collection walks the decisions' table of objects: be rare.
     gc.set_threshold(20_000, 20, 50)
     try:
-        asyncio.run(serve(read_config(os.environ)))
+        asyncio.run(serve(read_config(os.environ, peers=bool(os.environ.get("PADDLEQUAY_CLUSTER")))))
     except ConfigError as error:
         print(f"paddlequay: {error}", file=sys.stderr)
         return 2
--- a/paddlequay/asks.py
+++ b/paddlequay/asks.py
@@ -45,6 +45,7 @@
     body: Buffer = b""
     known: str | None = None
     retry: bool = False
+    tenant: str | None = None  # where the front tells it
     fill: int | None = None  # a fill of a node in the hierarchy: its number,
     extra: Callable[[str], Mapping[str, str]] | None = None  # and what it tells a target beside the order
 
--- /dev/null
+++ b/paddlequay/cluster/node.py
@@ -0,0 +1,139 @@
+"""All parts of one router's cluster as one: notes in, datagrams out, what one part finds told to the others.
+
+Pure like its parts: `net/peers.py` brings datagrams and time. What the router itself is to know comes back
+from each call as news; what it asks at the moment of use it asks of the parts (`limits`, `verdicts`, ...).
+"""
+
+import random
+from collections.abc import Sequence
+
+from paddlequay.cluster.leases import Leases
+from paddlequay.cluster.limits import Limits
+from paddlequay.cluster.liveness import Liveness
+from paddlequay.cluster.members import first_incarnation
+from paddlequay.cluster.notes import Note
+from paddlequay.cluster.outbox import Outbox
+from paddlequay.cluster.settings import ClusterSettings
+from paddlequay.cluster.types import Action, Fleet, Local, Name, Part, Peer, Say, Tell, earliest
+from paddlequay.cluster.verdicts import Verdicts
+from paddlequay.cluster.wire import Codec, Head, Wire
+
+News = Local | Say
+
+SETTLES_MOST = 10_000  # actions that follow from one event: past it a part answers itself without end
+
+
+class UnsettledError(RuntimeError):
+    """Parts that tell each other news without end: a fault of theirs."""
+
+
+class Node:
+    """One router's cluster. `unix` is the start's Unix time in seconds: it names this process's life.
+
+    `longest` is the longest that a request takes: a limit on requests out at once reckons with it. The parts
+    that the settings leave out are None. Nothing here raises for what peers say.
+    """
+
+    def __init__(
+        self,
+        settings: ClusterSettings,
+        fleet: Fleet,
+        unix: float,
+        seed: int,
+        now: float,
+        longest: float = 10.0,
+        first: bool = False,
+    ) -> None:
+        rng = random.Random(seed)
+        incarnation = first_incarnation(int(unix * 1000))
+        self.settings, self.fleet = settings, fleet
+        self.wire = Wire(Codec(settings.name, fleet.size), fleet, incarnation)
+        self.outbox = Outbox(self.wire, settings.bytes_per_s, settings.bounds, now)
+        self.liveness = Liveness(fleet, settings, incarnation, rng, now)
+        self.verdicts = Verdicts(fleet, settings, now) if settings.verdicts else None
+        self.leases = Leases(fleet, settings.bounds, rng, now) if fleet.acceptors else None
+        self.limits: Limits | None = None
+        if settings.limits and self.leases is not None:
+            self.limits = Limits(
+                fleet,
+                settings.bounds,
+                settings.limits,
+                self.holds,
+                incarnation,
+                now,
+                stay=longest,
+                shut=longest,
+                first=first,
+            )
+        self.parts: list[Part] = [self.liveness]
+        self.hears: dict[type[Note], Part] = dict.fromkeys(Liveness.HEARS, self.liveness)
+        self.begun: list[Action] = []
+        for part in (self.verdicts, self.leases, self.limits):
+            if part is not None:
+                self.join(part, part.HEARS)
+        if self.limits is not None and self.leases is not None and fleet.me in fleet.acceptors:
+            # Only those who vote bid: two hundred bidders for each lease would be all the traffic there is.
+            for lease in self.limits.leases:
+                self.begun += self.leases.want(lease, now)
+
+    def join(self, part: Part, hears: Sequence[type[Note]]) -> None:
+        """One more part, which hears notes of these kinds."""
+        self.parts.append(part)
+        self.hears.update(dict.fromkeys(hears, part))
+
+    def holds(self, lease: Name, now: float) -> int | None:
+        """The term under which this router holds a lease now."""
+        return None if self.leases is None else self.leases.holds(lease, now)
+
+    # --- events ---
+
+    def hear(self, sender: Peer, head: Head, notes: Sequence[Note], now: float) -> list[News]:
+        """A datagram has come, and was taken in."""
+        if self.leases is not None:
+            self.leases.saw_clock(head.clock)
+        news = self.settle(self.liveness.seen(sender, head.incarnation, now), now)
+        for note in notes:
+            part = self.hears.get(type(note))
+            if part is not None:
+                news += self.settle(part.hear(sender, head.incarnation, note, now), now)
+        return news
+
+    def tick(self, now: float) -> list[News]:
+        """Time has passed."""
+        news = self.settle(self.begun, now)
+        self.begun = []
+        for part in self.parts:
+            if part.due() <= now:
+                news += self.settle(part.tick(now), now)
+        return news
+
+    def leave(self, now: float) -> list[News]:
+        """Give back all leases, so that nobody has to wait for their end; bids are over."""
+        news: list[News] = []
+        if self.leases is not None and self.limits is not None:
+            for lease in self.limits.leases:
+                news += self.settle(self.leases.drop(lease, now), now)
+        return news
+
+    def due(self) -> float:
+        """When `tick` is next to be called."""
+        return earliest(self.parts) if not self.begun else float("-inf")
+
+    def settle(self, actions: Sequence[Action], now: float) -> list[News]:
+        """Let notes go, and tell all parts what one has found, until nothing follows any more."""
+        news: list[News] = []
+        waiting = list(actions)
+        for place, action in enumerate(waiting):
+            if place >= SETTLES_MOST:
+                raise UnsettledError(f"{SETTLES_MOST} actions after one event, the last {action}")
+            if isinstance(action, Tell):
+                self.outbox.put(action, now)
+                continue
+            news.append(action)
+            if not isinstance(action, Say):
+                for part in self.parts:
+                    waiting += part.on(action, now)
+        self.wire.incarnation = self.liveness.incarnation
+        if self.leases is not None:
+            self.wire.clock = max(self.wire.clock, self.leases.clock)
+        return news
--- a/paddlequay/config.py
+++ b/paddlequay/config.py
@@ -109,6 +109,16 @@
     counters_every: float = 5.0  # a replay's logs tell where requests went without an end by SIGTERM
 
 
+@dataclass(frozen=True, slots=True)
+class Peering:
+    """How a router reaches the others of its tier: its number, where it listens, their addresses in order."""
+
+    me: int
+    listen: Address
+    peers: tuple[Address, ...]
+    to_all: Address | None
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     """One router's configuration."""
@@ -121,6 +131,7 @@
     known: Mapping[str, Any]
     limits: Limits = field(default_factory=Limits)
     console: Address | None = None
+    peering: Peering | None = None  # None: the platform names no peers, or does not allow them
     folder: Path = Path(tempfile.gettempdir())  # for what outlives this process
 
     def file(self, ending: str) -> Path:
@@ -178,8 +189,31 @@
     )
 
 
-def read_config(environment: Mapping[str, str]) -> Config:
-    """The configuration named by `ROUTER_CONFIG`; `ROUTER_NAME` and `ROUTER_LISTEN` come first where set."""
+def read_peering(data: Mapping[str, Any]) -> Peering | None:
+    """The peers, where the platform names them and the settings allow them; else None."""
+    wire = data["settings"]
+    allowed = wire.get("limits", {}).get("peers") if isinstance(wire.get("limits", {}), dict) else None
+    peers, me = data.get("peers"), wire.get("me")
+    if allowed is not True or peers is None:
+        return None
+    if not isinstance(peers, list):
+        raise ConfigError(f"peers: expected a list of addresses, got {str(peers)[:60]!r}")
+    if isinstance(me, bool) or not isinstance(me, int) or not 0 <= me < len(peers):
+        raise ConfigError(f"settings.me: expected a number under {len(peers)}, got {me!r}")
+    to_all = data.get("peers_all")
+    return Peering(
+        me,
+        address(data.get("peer_listen"), "peer_listen"),
+        tuple(address(each, f"peers[{place}]") for place, each in enumerate(peers)),
+        None if to_all is None else address(to_all, "peers_all"),
+    )
+
+
+def read_config(environment: Mapping[str, str], peers: bool = False) -> Config:
+    """The configuration named by `ROUTER_CONFIG`; `ROUTER_NAME` and `ROUTER_LISTEN` come first where set.
+
+    `peers`: whether how to reach the other routers is read too.
+    """
     path = environment.get("ROUTER_CONFIG")
     if not path:
         raise ConfigError("ROUTER_CONFIG is not set")
@@ -210,5 +244,6 @@
         known=known,
         limits=limits_from(data, settings),
         console=None if console is None else address(console, "console"),
+        peering=read_peering(data) if peers else None,
         folder=Path(environment.get("TMPDIR") or tempfile.gettempdir()),
     )
--- a/paddlequay/exchange.py
+++ b/paddlequay/exchange.py
@@ -126,6 +126,7 @@
                 part=ask.part,
                 group=ask.group,
                 retry=ask.retry,
+                tenant=ask.tenant,
                 fill=ask.fill,
             )
         )
--- a/tests/cluster/test_leases.py
+++ b/tests/cluster/test_leases.py
@@ -8,7 +8,7 @@
 from paddlequay.cluster import acceptor, proposer
 from paddlequay.cluster.acceptor import counter
 from paddlequay.cluster.leases import Leases
-from paddlequay.cluster.notes import NOTES, Note, Prepare, Promise, Propose, Release
+from paddlequay.cluster.notes import NOTES, Accept, Note, Prepare, Promise, Propose, Reject, Release
 from paddlequay.cluster.types import Bounds, Fleet, HolderSeen, LeaseLost, LeaseTaken, Say, Tell
 from paddlequay.lab.lease_world import World
 
@@ -212,13 +212,74 @@
         assert world.holders(1) == [(3, term)]
 
 
-def test_no_lease_longer_than_the_stay_out_covers_is_given() -> None:
+def test_acceptors_that_all_start_at_once_give_the_lease_soon_after_their_stay_out() -> None:
+    for seed in SEEDS:
+        world = World(5, seed)
+        for each in (0, 3, 4):
+            world.want(each, 1)  # what is asked too early must not be too low for good
+        assert OUT * 0.9 < until_held(world, 4.0) < OUT + 0.8
+
+
+def test_an_heir_that_hears_of_it_before_the_acceptors_does_not_wait_for_the_lock() -> None:
+    world = holding(3, 4)
+    world.drop(3, 1, heir=4)
+    (late, early) = ([m for m in world.pending if (m.to == 4) is early] for early in (False, True))
+    world.pending = early
+    world.run(0.1)
+    world.pending += late
+    assert until_held(world, 1.0, by=4) <= 0.2
+
+
+def test_a_bidder_whose_promises_were_forgotten_takes_a_new_ballot() -> None:
+    world = World(4, 1)
+    world.run(OUT + 0.1)
+    world.want(3, 1)
+    world.blocked = {(0, 3), (1, 3), (2, 3)}
+    world.run(0.1)
+    world.processes[3].stopped = True
+    world.run(3 * T)
+    assert world.settle(1.0, lambda: held(world)) is not None
+
+
+ME = 5 << 32 | 1 << 16  # a ballot of router 1
+ASK, TAKE, RENEW = Prepare(7, ME), Propose(7, ME, 1500, 0), Propose(7, ME, 1500, 1)
+
+
+@pytest.mark.parametrize(
+    ("notes", "answers"),
+    [
+        ([(2.0, ASK), (2.0, TAKE), (2.4, RENEW)], [Promise, Accept, Accept]),
+        ([(2.0, TAKE)], [Reject]),  # not promised in this life
+        ([(2.0, ASK), (2.8, TAKE)], [Promise, Reject]),  # not lately
+        ([(2.0, ASK), (2.1, Release(7, ME, 1)), (2.2, TAKE)], [Promise, Reject]),  # given up
+        ([(2.0, ASK), (2.0, TAKE), (2.1, Release(7, ME, 1)), (2.2, RENEW)], [Promise, Accept, Reject]),
+        (
+            [(2.0, RENEW), (2.1, Prepare(7, ME + 1))],
+            [Accept, Promise],
+        ),  # held past a restart; the next run waits
+        ([(2.0, Propose(7, ME, 1501, 0))], []),  # longer than a stay-out
+    ],
+)
+def test_an_acceptor_takes_a_proposal_only_while_its_ballot_stands(
+    notes: list[tuple[float, Note]], answers: list[type[Note]]
+) -> None:
     leases = single()
     leases.tick(2.0)
-    ballot = 5 << 32 | 1 << 16
-    leases.hear(1, 0, Prepare(7, ballot), 2.0)
-    assert leases.hear(1, 0, Propose(7, ballot, 1501, 0), 2.0) == []
-    assert leases.hear(1, 0, Propose(7, ballot, 1500, 0), 2.0) != []
+    said = [
+        each.note for now, note in notes for each in leases.hear(1, 0, note, now) if isinstance(each, Tell)
+    ]
+    assert [type(each) for each in said] == answers
+    assert all(each.held != 0 for each in said if isinstance(each, Promise) and each.ballot != ME)
+
+
+def test_a_released_lock_is_kept_for_the_heir_for_a_moment() -> None:
+    leases = single()
+    leases.tick(2.0)
+    for note in (ASK, TAKE, Release(7, ME, 2)):
+        leases.hear(1, 0, note, 2.0)
+    for now, sender, kind in ((2.1, 3, Reject), (2.1, 2, Promise), (2.4, 3, Promise)):
+        (told,) = leases.hear(sender, 0, Prepare(7, 6 << 32 | sender << 16), now)
+        assert isinstance(told, Tell) and type(told.note) is kind
 
 
 def test_who_only_asks_is_told_the_holder_and_disturbs_nothing() -> None:
