--- a/paddlequay/cluster/leases.py
+++ b/paddlequay/cluster/leases.py
@@ -28,10 +28,12 @@
 term, and is heard in that time, is enough, even where all acceptors start anew one after another.
 
 Stated bounds, for T = 1.5 s and answers within 0.1 s: a lease whose holder dies is taken again within 1.05 T
-+ 0.2 T + the election, 2.2 s without loss; one released to an heir within 0.1 s and two answers' times.
-Renewals go out each third of what is counted, are sent again each T/15 until a majority has answered, and may
-all be lost for T/2. A router starts 25 elections a second at most (`PACE`), 8 of them at once. Memory:
-`STATES_MOST`, `BIDS_MOST`, `HINTS_MOST` leases.
++ 0.2 T + the election, 2.2 s without loss; one whose holder is told nothing but can tell, within 3.2 s, as
+its renewals still close locks until it gives up; one released to an heir, within 0.1 s and two answers'
+times. Renewals go out each third of what is counted, are sent again each T/15 until a majority has answered,
+and may all be lost for T/2. A router starts 25 elections a second at most (`PACE`), 8 of them at once.
+Memory: `STATES_MOST`, `BIDS_MOST`, `HINTS_MOST` leases. Counters have 31 bits; they grow with takes and lost
+elections, not with renewals nor with asking while another holds.
 """
 
 import random
