--- a/paddlequay/lab/fleet_rig.py
+++ b/paddlequay/lab/fleet_rig.py
@@ -29,10 +29,7 @@
 
 
 def free_udp() -> tuple[str, int]:
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as free:
-        free.bind(("127.0.0.1", 0))
-        host, port = free.getsockname()
-        return str(host), int(port)
+    return "127.0.0.1", free_port(socket.SOCK_DGRAM)
 
 
 @dataclass(slots=True, eq=False)
--- a/paddlequay/lab/plaza.py
+++ b/paddlequay/lab/plaza.py
@@ -3,6 +3,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import json
 import os
 import signal
@@ -44,9 +45,20 @@
     root: Path = ROOT  # whose program the routers run: another one is an earlier version to compare with
 
 
-def free_port() -> int:
-    with socket.create_server(("127.0.0.1", 0)) as free:
-        return int(free.getsockname()[1])
+# Below those that the kernel gives to connections, begun elsewhere in each process: a port that the kernel
+# names as free is another's by the time that a process started for it listens there.
+PORTS = itertools.cycle(range(10_000, 32_000))
+for _ in range(os.getpid() * 97 % 22_000):
+    next(PORTS)
+
+
+def free_port(kind: socket.SocketKind = socket.SOCK_STREAM) -> int:
+    """A port on loopback where nobody listens."""
+    for port in PORTS:
+        with socket.socket(socket.AF_INET, kind) as free, contextlib.suppress(OSError):
+            free.bind(("127.0.0.1", port))
+            return port
+    raise AssertionError
 
 
 @dataclass(slots=True, eq=False)
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -17,6 +17,7 @@
 from pathlib import Path
 from typing import Any
 
+from paddlequay.lab.plaza import free_port
 from paddlequay.protocol import msgpack
 
 ROOT = Path(__file__).parent.parent
@@ -147,8 +148,7 @@
             self.entry("parent-1", self.parent, "parent", "hub"),
             self.entry("origin-1", self.origin, "origin", "hub"),
         ]
-        with socket.create_server(("127.0.0.1", 0)) as free:
-            self.address = ("127.0.0.1", free.getsockname()[1])
+        self.address = ("127.0.0.1", free_port())
         known = {"no": 1, "items": [{"no": 1, "roster": {"reset": True, "instances": self.roster}}]}
         config = {
             "name": "n0",
@@ -169,8 +169,7 @@
 
     def start(self) -> "subprocess.Popen[str]":
         """One more process of the router, with a console of its own; it is `process` from now on."""
-        with socket.create_server(("127.0.0.1", 0)) as free:
-            self.console = ("127.0.0.1", free.getsockname()[1])
+        self.console = ("127.0.0.1", free_port())
         told = {"ROUTER_CONFIG": self.config, "TMPDIR": self.folder.name}
         self.process = subprocess.Popen(
             [sys.executable, "-m", "paddlequay"],
