Drop news that waited for longer than verdicts allow for its way

Evidence carries an age that is fixed when it is told, and verdicts allow 0.5 s for its way; the outbox kept news for up to 2 s, so that old evidence could pass for fresh. News now waits an eighth of the evidence's life, 0.25 s. The test fails with the former age.

--- a/paddlequay/cluster/outbox.py
+++ b/paddlequay/cluster/outbox.py
@@ -25,6 +25,7 @@
 ALL_MOST = 4096  # notes that wait at one urgency, or twice the fleet's size where that is more
 SWEEPS = 8  # times that a full queue is searched for old notes while a note grows old
 STALL = 0.25  # seconds of sending that are not lost when the process is not run for so long
+NEWS_PART = 8  # of `Bounds.evidence`: a note's age is fixed when told, and verdicts allow 0.5 s for its way
 ROUTINE_AGE = 1.0  # seconds: parts repeat what is routine about once a second, and say it better then
 SUBJECTS = ("lease", "limit", "subject", "channel", "bundle", "peer")  # what a note is about
 
@@ -136,7 +137,8 @@
         self.counts: Counter[str] = Counter()
         most = max(ALL_MOST, 2 * self.fleet.size)
         # An answer about a lease that has waited as long as a lease lives is of use to nobody.
-        ages = {Urgency.LEASE: bounds.lease, Urgency.NEWS: bounds.evidence, Urgency.ROUTINE: routine_age}
+        news = bounds.evidence / NEWS_PART
+        ages = {Urgency.LEASE: bounds.lease, Urgency.NEWS: news, Urgency.ROUTINE: routine_age}
         self.queues = {each: Queue(each, ages[each], most, self.counts) for each in Urgency}
 
     def put(self, tell: Tell, now: float) -> None:
--- a/tests/cluster/test_outbox.py
+++ b/tests/cluster/test_outbox.py
@@ -10,6 +10,7 @@
 from paddlequay.cluster.outbox import ALL_MOST, LANE_MOST, ROUTINE_AGE, Outbox, Packet
 from paddlequay.cluster.simwire import CONTENT_MOST, SimWire, to_content
 from paddlequay.cluster.types import NEVER, Bounds, Fleet, Tell, Urgency
+from paddlequay.cluster.verdicts import TRANSIT_S
 from paddlequay.cluster.wire import DATAGRAM_MOST, Codec, Heard, Refusal, Wire
 
 BOUNDS = Bounds()
@@ -124,10 +125,10 @@
     outbox = box()
     outbox.tokens = 0
     for milli in (1, 2, 3):
-        outbox.put(Tell(1, Need(7, milli, milli, 0)), 0.5)
-        outbox.put(Tell(1, Need(8, milli, milli, 0)), 0.5)
-        outbox.put(Tell(1, Load(milli, 0)), 0.5)
-        outbox.put(Tell(1, Ping(milli, 0), NEWS if milli > 1 else LEASE), 0.5)
+        outbox.put(Tell(1, Need(7, milli, milli, 0)), 0.9)
+        outbox.put(Tell(1, Need(8, milli, milli, 0)), 0.9)
+        outbox.put(Tell(1, Load(milli, 0)), 0.9)
+        outbox.put(Tell(1, Ping(milli, 0), NEWS if milli > 1 else LEASE), 0.9)
     pings = [Ping(1, 0), Ping(2, 0), Ping(3, 0)]
     (packet,) = outbox.take(1.0)
     assert notes([packet]) == [*pings, Need(7, 3, 3, 0), Need(8, 3, 3, 0), Load(3, 0)]
@@ -141,8 +142,19 @@
         outbox.put(Tell(1, Load(1, 1), urgency), 0.0)
     assert not outbox.take(ROUTINE_AGE)
     outbox.tokens = outbox.burst
-    assert len(notes(outbox.take(ROUTINE_AGE + 0.1))) == 2
-    assert outbox.counts["dropped.old.routine"] == 1
+    assert len(notes(outbox.take(ROUTINE_AGE + 0.1))) == 1
+    assert (outbox.counts["dropped.old.routine"], outbox.counts["dropped.old.news"]) == (1, 1)
+
+
+def test_evidence_waits_for_less_than_verdicts_allow_for_its_way() -> None:
+    """Its age is fixed when it is told: what waited longer would count beyond its end."""
+    for waits, goes in ((0.2, 1), (0.3, 0), (TRANSIT_S, 0)):
+        outbox = box()
+        outbox.tokens, outbox.rate = 0.0, 1e-9
+        outbox.put(Tell(None, Evidence(7, 0, 2, 1, 1, 1), NEWS), 0.0)
+        outbox.take(waits)
+        outbox.tokens = outbox.burst
+        assert len(notes(outbox.take(waits))) == goes
 
 
 def test_queues_are_bound_for_each_receiver_and_in_all() -> None:
