Let edges follow the table of placement that the fleet has agreed on

The decisions ask homes for an order by one number; rules also tell class, tenant and group apart, and the table in use changes while requests run. The number that the ladder asks by now carries the request (an int with fields), and the edges' homes follow a table while the fleet's word on its epoch holds, looked at for each decision: two lines more in the decisions.

--- a/paddlequay/placement/homes.py
+++ b/paddlequay/placement/homes.py
@@ -72,11 +72,12 @@
 class Homes(Generic[M]):
     """Members by name, and the order in which they are homes of a key.
 
-    Bounds: `REMEMBERED_MOST` slots of `DEPTH` entries, `CHANGES_MOST` changes. Who is removed is not held.
+    Bounds: `remembered` slots of `DEPTH` entries, `CHANGES_MOST` changes. Who is removed is not held.
     """
 
-    def __init__(self, small: int = SMALL) -> None:
+    def __init__(self, small: int = SMALL, remembered: int | None = None) -> None:
         self.small = small
+        self.remembered = REMEMBERED_MOST if remembered is None else remembered
         self.members: dict[str, M] = {}
         self.weights: dict[str, float] = {}
         self.seeds: dict[str, int] = {}
@@ -152,7 +153,7 @@
                 return entries, False
         entries = self.ranking(slot, DEPTH)
         self.slots.pop(slot, None)
-        while len(self.slots) >= REMEMBERED_MOST:
+        while len(self.slots) >= self.remembered:
             del self.slots[next(iter(self.slots))]
         self.slots[slot] = (now, entries)
         return entries, False
@@ -163,8 +164,12 @@
         `share` in (0, 1] scales a member's weight now, as for one that warms up: its arrivals come later by
         that much, and move back as the share grows, so that each object moves to a newcomer once.
         """
+        return self.in_slot(slot_of(key), share)
+
+    def in_slot(self, slot: int, share: Callable[[M], float] = always_whole) -> Iterator[M]:
+        """The same for a slot, or for a shard of a table, whose numbers are as good."""
         members = self.members
-        entries, whole = self.entries(slot_of(key))
+        entries, whole = self.entries(slot)
         later: list[Entry] = []
         seen = 0
         for at, name in entries:
@@ -181,7 +186,7 @@
                 yield member
         if not whole:
             # Beyond what is remembered: all others, scaled, in their order.
-            for at, name in self.ranking(slot_of(key), len(members))[seen:]:
+            for at, name in self.ranking(slot, len(members))[seen:]:
                 heapq.heappush(later, (at / max(LEAST_WEIGHT, share(members[name])), name))
         while later:
             name = heapq.heappop(later)[1]
--- a/paddlequay/policy/ladder.py
+++ b/paddlequay/policy/ladder.py
@@ -4,6 +4,7 @@
 from itertools import chain, islice
 
 from paddlequay.interface import Cause, Effect
+from paddlequay.placement.following import asked
 from paddlequay.placement.homes import digest, place
 from paddlequay.policy.beliefs import Beliefs
 from paddlequay.policy.hotness import SPREAD_READS
@@ -95,7 +96,7 @@
 
     def pick_edge(self, item: Open, now: float) -> tuple[Server | None, bool]:
         """The hash of object and part, over two above a rate, the next where it fails; and was one busy?"""
-        ranked = self.ranked(Tier.EDGE, place(item.request.key, item.request.part), now)
+        ranked = self.ranked(Tier.EDGE, asked(item.request), now)
         fit = (e for e in ranked if same_group(item, e) and e.entry.name not in item.failed)
         first = sorted(islice(fit, 2), key=lambda e: e.out) if item.seen.reads > SPREAD_READS else []
         busy = None
--- a/paddlequay/policy/members.py
+++ b/paddlequay/policy/members.py
@@ -5,6 +5,7 @@
 from paddlequay.fleet.cold import Cold
 from paddlequay.fleet.room import Room
 from paddlequay.interface import MembersChanged, Ramp, Settings, State
+from paddlequay.placement.following import Following
 from paddlequay.placement.homes import Homes
 from paddlequay.policy.limits import LIMIT_START
 from paddlequay.records import Server, Tier
@@ -17,7 +18,7 @@
         self.settings, self.room = settings, room
         self.tiers = {settings.origin_kind: Tier.ORIGIN, settings.parent_kind: Tier.PARENT, None: Tier.EDGE}
         self.servers: dict[str, Server] = {}
-        self.homes: dict[Tier, Homes[Server]] = {Tier.EDGE: Homes(), Tier.PARENT: Homes()}
+        self.homes: dict[Tier, Homes[Server]] = {Tier.EDGE: Following(), Tier.PARENT: Homes()}
         ramps = {Tier.EDGE: settings.cold_edge, Tier.PARENT: settings.cold_parent, Tier.ORIGIN: Ramp()}
         self.cold = {tier: Cold(ramp) for tier, ramp in ramps.items()}
         self.origins: list[Server] = []
--- /dev/null
+++ b/tests/cluster/test_placing.py
@@ -0,0 +1,221 @@
+"""Rules at one router: compiled for its list, followed by the fleet's word alone, moved at their pace."""
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable, Sequence
+from pathlib import Path
+
+import pytest
+
+from paddlequay.asks import Ask, Timer
+from paddlequay.cluster.node import Node
+from paddlequay.cluster.settings import ClusterSettings
+from paddlequay.cluster.types import Action, Fleet, TableChanged
+from paddlequay.config import ConfigError, Limits
+from paddlequay.counters import Counters
+from paddlequay.exchange import Exchange
+from paddlequay.interface import Effect, Member, Request, RequestClass, Settings, State
+from paddlequay.net.placing import Placing
+from paddlequay.operation import Operation
+from paddlequay.placement.following import asked
+from paddlequay.policy import Router
+from paddlequay.records import Tier
+from paddlequay.shares import Shares
+
+CLASSES = (RequestClass("video", aim=0.5, deadline=2.0, effect=Effect.SAFE),)
+SETTINGS = Settings("here", CLASSES, parent_kind="parent", origin_kind="origin", siblings="any", routers=1)
+RULES = """move at most 100 shards per second.
+rule all, precedence 1, for class video: 64 shards by object; pin shard 0 through 63 to member {}.
+"""
+EDGES = tuple(Member(f"e{n}", "here", "box", started=1.0) for n in range(4))
+OTHERS = (Member("p", "hub", "parent"), Member("o", "hub", "origin"))
+
+
+class NoTimer:
+    def cancel(self) -> None: ...
+
+
+class Clock:
+    now = 100.0
+
+    def monotonic(self) -> float:
+        return self.now
+
+    def unix(self) -> float:
+        return 1000.0 + self.now
+
+    def later(self, delay: float, call: Callable[[], None]) -> Timer:
+        return NoTimer()
+
+
+class World:
+    """One router that is the whole fleet; nothing is sent, and time goes on as told."""
+
+    def __init__(self, folder: Path, rules: str) -> None:
+        self.clock, self.path = Clock(), folder / "p.rules"
+        self.path.write_text(rules)
+        limits, counters = Limits(), Counters()
+        router = Router(SETTINGS, 1)
+        self.exchange = Exchange(
+            router, Operation(folder / "o"), Shares(limits), limits, self.clock, counters
+        )
+        self.placing = Placing(self.path, SETTINGS, self.exchange, counters, self.told, self.clock.monotonic)
+        self.counters = counters
+        self.exchange.list_changed(EDGES + OTHERS, True)
+        self.node = self.join()
+
+    def join(self) -> Node:
+        settings = ClusterSettings("test", (0,), verdicts=False)
+        node = Node(settings, Fleet(0, 1, (0,)), self.clock.unix(), 1, self.clock.now)
+        self.placing.join(node)
+        return node
+
+    def told(self, node: Node, actions: Sequence[Action]) -> None:
+        self.heard(node.settle(actions, self.clock.now))
+
+    def heard(self, news: Sequence[object]) -> None:
+        for each in news:
+            if isinstance(each, TableChanged):
+                self.placing.changed(each)
+
+    def run(self, seconds: float) -> None:
+        end = self.clock.now + seconds
+        while self.clock.now < end:
+            self.clock.now = min(end, max(self.clock.now + 0.001, self.node.due()))
+            self.heard(self.node.tick(self.clock.now))
+
+    async def beat(self, seconds: float = 3.0) -> None:
+        await self.placing.beat()
+        self.run(seconds)
+
+    def home(self, key: int) -> str | None:
+        homes = self.exchange.router.know.members.homes[Tier.EDGE]
+        server = next(homes.order(asked(Request("q", "video", 1.0, key=key))), None)
+        return None if server is None else server.entry.name
+
+    def all_at(self, name: str) -> bool:
+        return {self.home(key) for key in range(300)} == {name}
+
+
+def play(folder: Path, script: Callable[[World], Awaitable[None]], rules: str = RULES.format("e2")) -> World:
+    world = World(folder, rules)
+    asyncio.run(script(world))  # type: ignore[arg-type]
+    return world
+
+
+def test_rules_are_followed_once_the_fleet_has_agreed_and_no_longer_than_its_word(tmp_path: Path) -> None:
+    async def script(world: World) -> None:
+        assert not world.all_at("e2")
+        await world.placing.beat()
+        assert not world.all_at("e2")  # compiled, and nobody's word yet
+        world.run(3.0)
+        assert world.all_at("e2")
+        world.clock.now += 31.0
+        assert not world.all_at("e2")  # stopped for longer than an epoch is counted on
+        world.placing.part()
+        assert not world.all_at("e2")
+
+    play(tmp_path, script)
+
+
+def test_only_what_rules_see_of_the_list_is_compiled_anew(tmp_path: Path) -> None:
+    async def script(world: World) -> None:
+        await world.beat()
+        own = world.placing.own
+        assert own is not None and own.names == ("e0", "e1", "e2", "e3")
+        world.exchange.list_changed(
+            (Member("e1", "here", "box", started=50.0), Member("p2", "hub", "parent")), False
+        )
+        await world.beat()
+        assert world.placing.own is own
+        world.exchange.list_changed((Member("e1", "here", "box", state=State.DRAINING),), False)
+        await world.beat()
+        assert world.placing.own is not own and world.counters.counts["placement_compiled"] == 2
+
+    play(tmp_path, script)
+
+
+def test_another_file_moves_shards_at_its_pace_and_names_who_had_them(tmp_path: Path) -> None:
+    async def script(world: World) -> None:
+        await world.beat()
+        world.path.write_text(RULES.format("e3"))
+        world.placing.reload()
+        await world.placing.beat()
+        world.run(0.1)
+        assert {world.home(key) for key in range(300)} == {"e2", "e3"}  # most shards wait
+        world.run(1.0)
+        assert world.all_at("e3")
+        ask = Ask("x", "video", 1.0, "7", 7, None, None)
+        world.placing.asked(ask)
+        seen = world.exchange.router.know.hotness.table[7, None]
+        assert list(seen.holders) == ["e2"]
+        assert world.counters.counts["placement_former_named"] == 1
+        why = json.loads(world.placing.explain("class=video,key=7"))
+        assert (why["now"], why["former"], why["rule"], why["waits"]) == (["e3"], ["e2"], "all", False)
+        world.run(61.0)
+        world.placing.asked(ask)
+        assert world.counters.counts["placement_former_named"] == 1
+
+    play(tmp_path, script)
+
+
+def test_a_file_that_cannot_be_used_leaves_the_one_before(tmp_path: Path) -> None:
+    async def script(world: World) -> None:
+        await world.beat()
+        world.path.write_text("otherwise: 64 shards by what.")
+        with pytest.raises(ConfigError, match=r"p\.rules:1:"):
+            world.placing.reload()
+        world.path.write_text("otherwise: 64 shards by object; 9 copies.")  # more than the list has
+        world.placing.reload()
+        await world.beat()
+        await world.beat()
+        assert world.counters.counts["placement_refused"] == 1 and world.all_at("e2")
+        assert world.placing.tables is not None and world.placing.tables.own.table != 0
+
+    play(tmp_path, script)
+
+
+def test_shards_cut_otherwise_wait_for_those_in_motion(tmp_path: Path) -> None:
+    async def script(world: World) -> None:
+        await world.beat()
+        world.path.write_text(RULES.format("e3").replace("100 shards", "10 shards"))
+        world.placing.reload()
+        await world.beat(1.0)
+        world.path.write_text(RULES.format("e1").replace("64 ", "128 ").replace("63", "127"))
+        world.placing.reload()
+        await world.beat(1.0)
+        assert world.placing.waits is not None and json.loads(world.placing.page())["next_waits"]
+        world.run(6.0)
+        await world.beat(20.0)
+        assert world.placing.waits is None and world.all_at("e1")
+
+    play(tmp_path, script)
+
+
+def test_a_new_life_in_the_cluster_has_no_epoch_until_the_fleets_word(tmp_path: Path) -> None:
+    async def script(world: World) -> None:
+        await world.beat()
+        world.placing.part()
+        world.node = world.join()
+        assert not world.all_at("e2")
+        world.run(5.0)
+        assert world.all_at("e2")
+
+    play(tmp_path, script)
+
+
+def test_the_console_is_told_what_it_may_ask_and_why_there_is_no_rule(tmp_path: Path) -> None:
+    world = World(tmp_path, RULES.format("e2"))
+    for text in ("", "key", "what=1", "class=video,", "group=x"):
+        assert "expected" in json.loads(world.placing.explain(text))
+    assert json.loads(world.placing.explain("class=video,key=7"))["rule"] is None
+
+
+def test_tables_held_are_few_however_often_the_list_changes(tmp_path: Path) -> None:
+    async def script(world: World) -> None:
+        for n in range(12):
+            world.exchange.list_changed((Member(f"x{n}", "here", "box"),), False)
+            await world.beat(0.6)
+        assert len(world.placing.held) <= 6
+
+    play(tmp_path, script)
--- a/tests/cluster/test_tables.py
+++ b/tests/cluster/test_tables.py
@@ -356,3 +356,18 @@
     again = [action for action in declarer.tick(0.2)[0] if isinstance(action, Tell) and action.note == note]
     assert [tell.to for tell in again] == [2, 3, 4]
     assert declarer.tick(0.3)[0] == [] and declarer.due() < 0.7
+
+
+def test_a_declaration_goes_again_to_who_has_not_confirmed_it_and_at_once_to_who_is_behind() -> None:
+    declarer = holder()
+    declarer.tick(0.0)
+    for peer in (1, 2):
+        declarer.heard(peer, 1, Has(1, term_of(4, 0), 10, 0), 0.1)
+    note = Table(1, term_of(4, 0), 10, 0, 1)
+    assert Tell(None, note, Urgency.NEWS) in declarer.tick(0.1)[0]
+    declarer.heard(2, 1, Has(1, term_of(4, 0), 10, epochs.mark(epoch_of(term_of(4, 0), 1))), 0.2)
+    assert declarer.tick(0.31)[0] == [Tell(peer, note, Urgency.NEWS) for peer in (1, 3, 4)]
+    former = epoch_of(term_of(3, 1), 1)
+    assert declarer.heard(3, 1, Has(1, term_of(3, 1), 10, epochs.mark(former)), 0.4) == [
+        Tell(3, note, Urgency.NEWS)
+    ]
