Let hints of what is held yield to all that decides something

With hundreds of channels they are most of what an owner sends, and the bound on bytes would make them wait beside verdicts. Routine, a newer one replaces an older one that still waits.

--- a/paddlequay/cluster/channels.py
+++ b/paddlequay/cluster/channels.py
@@ -109,7 +109,8 @@
         bundle.rate.add(now)
         bundle.told = now
         word = Carried(ahead.channel, ahead.term, ahead.part, box, int(life * 1000))
-        out: list[Action] = [Tell(peer, word, Urgency.NEWS) for peer in bundle.following(now)]
+        # Routine: under the bound on bytes a hint yields to all that decides something, and to a newer one.
+        out: list[Action] = [Tell(peer, word, Urgency.ROUTINE) for peer in bundle.following(now)]
         if bundle.former is not None and ahead.term == bundle.term:
             took = Took(bundle.lease, ahead.term, bundle.former.term)
             out.append(Tell(bundle.former.former, took, Urgency.LEASE))
