--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -1,6 +1,7 @@
 """A node refuses what a channel's former owner still sends."""
 
 import pytest
+from test_tier import Rig, one, rig
 
 from paddlequay.hierarchy.moves import MoveLimits
 from paddlequay.hierarchy.node import Answer, Fill, Node, NodeLimits, Want, Word
@@ -11,6 +12,8 @@
 from paddlequay.policy import Router
 from paddlequay.protocol import caches as wire
 
+__all__ = ["one", "rig"]  # fixtures
+
 
 def test_a_lower_term_is_refused_and_the_same_one_taken() -> None:
     terms = Terms()
@@ -55,6 +58,20 @@
     assert read_channel({}) is None and read_channel({"chan": "ff", "term": "10"}) == (255, 16)
 
 
+def test_a_tier_serves_each_later_owner_and_refuses_the_one_before(one: Rig) -> None:
+    asker = one.asker()
+    asker.ask("q1", chan="7f", term="20")
+    one.give()
+    assert asker.answer()[1] == "HIT"
+    asker.ask("q2", chan="7f", term="1f")
+    word = asker.answer()
+    assert (word[1], word[2]["detail"]) == ("NONE", "OLD_TERM")
+    asker.ask("q3", chan="7f")
+    assert asker.answer()[2]["detail"] == "BAD_FIELD"
+    asker.ask("q4", chan="80", term="1f")
+    assert asker.answer()[1] == "HIT" and one.store.lines.empty()
+
+
 def test_a_router_believes_who_it_is_told_holds_a_part() -> None:
     kind = RequestClass("video", aim=0.5, deadline=2.0, effect=Effect.SAFE)
     router = Router(Settings(zone="here", classes=(kind,)), 1)
