Join channels and placement tables into the router's share, and part leaves from it

Need: channels on leases and tables by epochs were parts without a router. net/sharing.py joins both where the settings name classes of channels or a file of rules: reads, fills ahead and hints pass the exchange's watch, epochs its homes; at SIGTERM leases, bundles and the lease on tables are given back at once. Leaves under limits stand in net/leaves.py, the operators' page in net/sharing_page.py. A life's random source is seeded by its incarnation too: a restart with the same configured seed drew the same nonce for its ballots.

--- a/paddlequay/__main__.py
+++ b/paddlequay/__main__.py
@@ -99,6 +99,7 @@
         if not path:
             return None
         from paddlequay.net.sharing import Sharing
+        from paddlequay.net.sharing_page import page
         from paddlequay.schema.cluster import read_cluster
 
         settings = read_cluster(Path(path))
@@ -110,7 +111,9 @@
         except ValueError as error:
             raise ConfigError(f"{path}: {error}") from None
         self.exchange.watch = sharing
-        self.console.pages["cluster"] = sharing.page
+        self.console.pages["cluster"] = lambda: page(sharing)
+        if sharing.placing is not None:
+            self.console.queries["placement"] = sharing.placing.explain
         return sharing
 
     @staticmethod
@@ -138,6 +141,12 @@
             except ConfigError as error:
                 self.counters.add("reloads_refused")
                 return log.event(LOGGER, logging.WARNING, "reload_refused", why=str(error))
+        if self.sharing is not None and self.sharing.placing is not None:
+            try:
+                self.sharing.placing.reload()
+            except ConfigError as error:
+                self.counters.add("reloads_refused")
+                return log.event(LOGGER, logging.WARNING, "reload_refused", why=str(error))
         self.counters.add("reloads")
         self.follower.move(config.bulletin)
         host, port = config.bulletin
--- a/paddlequay/cluster/node.py
+++ b/paddlequay/cluster/node.py
@@ -44,8 +44,8 @@
         longest: float = 10.0,
         first: bool = False,
     ) -> None:
-        rng = random.Random(seed)
         incarnation = first_incarnation(int(unix * 1000))
+        rng = random.Random(seed << 64 | incarnation)  # each life draws anew: a nonce is used by one alone
         self.settings, self.fleet = settings, fleet
         self.wire = Wire(Codec(settings.name, fleet.size), fleet, incarnation)
         self.outbox = Outbox(self.wire, settings.bytes_per_s, settings.bounds, now)
--- a/paddlequay/net/sharing.py
+++ b/paddlequay/net/sharing.py
@@ -5,47 +5,38 @@
 """
 
 import asyncio
-import json
 import logging
+import random
 import time
-from collections import Counter, OrderedDict
+from collections import OrderedDict
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass
-from typing import Any
+from typing import TYPE_CHECKING
 
 from paddlequay import log
-from paddlequay.asks import Ask, Attempt, End, Open
+from paddlequay.asks import Attempt, End, Open
 from paddlequay.cluster import evidence
-from paddlequay.cluster.limits import Ticket
 from paddlequay.cluster.node import News, Node
 from paddlequay.cluster.notes import Note as PeerNote
-from paddlequay.cluster.settings import By, ClusterSettings, Mode
-from paddlequay.cluster.types import Action, Fleet, Local, Name, Peer, Say, VerdictChanged
+from paddlequay.cluster.settings import ClusterSettings
+from paddlequay.cluster.types import Action, Fleet, Local, Name, Peer, Say, TableChanged, VerdictChanged
 from paddlequay.cluster.wire import Head
 from paddlequay.config import Config, Peering
 from paddlequay.counters import Counters
 from paddlequay.exchange import Exchange
-from paddlequay.interface import FleetWord, Member, Note
+from paddlequay.interface import FleetWord, Note
+from paddlequay.net.leaves import Leaves
 from paddlequay.net.peers import Peers
 from paddlequay.placement.homes import digest
 
+if TYPE_CHECKING:
+    from paddlequay.net.channels import ChannelFront
+    from paddlequay.net.placing import Placing
+
 LOGGER = logging.getLogger(__name__)
 
 LOG_PAUSE = 5.0  # seconds between two lines of a kind
 NAMES_MOST = 20_000  # of members by digest
 TRY_PAUSE = 0.1  # seconds between two tries to join beside an older process
-OUT_PAUSE = 0.3  # told a client whose request falls under a strict limit meanwhile
-LEAVE_S = 0.1  # a leave that was not written on for so long is asked for anew
-PAGE_WORDS = 200  # subjects on the operators' page
-
-
-@dataclass(slots=True)
-class Leave:
-    """What a request was let through by, when, and whether it was written since."""
-
-    ticket: Ticket
-    at: float
-    used: bool = False
 
 
 class Sharing:
@@ -75,11 +66,17 @@
         self.peers: Peers | None = None
         self.waiting: asyncio.Task[None] | None = None
         self.made()  # what cannot be used is said now
-        self.requests: dict[str, Leave] = {}  # by serial; ends with the request
-        self.writes: dict[str, list[tuple[Attempt, Ticket]]] = {}  # the same, for what is out
+        self.leaves = Leaves(settings, exchange, counters, self.loop.time)
+        self.front: ChannelFront | None = None
+        self.placing: Placing | None = None
+        if settings.rules is not None:
+            from paddlequay.net import placing
+
+            self.placing = placing.Placing(
+                settings.rules, config.settings, exchange, counters, self.act, self.loop.time
+            )
         self.names: OrderedDict[Name, str] = OrderedDict()
         self.logged: dict[str, float] = {}
-        self.matches = {rule.match for rule in settings.limits}
 
     # --- its life ---
 
@@ -95,6 +92,8 @@
 
     async def start(self) -> None:
         """Join, or wait for the address beside a process that has it."""
+        if self.placing is not None:
+            self.placing.start()
         if not await self.join():
             log.event(LOGGER, logging.INFO, "cluster_waits", why="another process has the peers' address")
             self.waiting = asyncio.ensure_future(self.wait())
@@ -111,14 +110,47 @@
         except OSError:
             peers.close()
             return False
-        self.node, self.peers = node, peers
+        self.node, self.peers, self.leaves.limits = node, peers, node.limits
+        if self.placing is not None:
+            self.placing.join(node)
+        self.join_channels(node)
+        self.wake(now=True)
         log.event(LOGGER, logging.INFO, "cluster_joined", me=self.fleet.me, of=self.fleet.size)
         return True
 
+    def join_channels(self, node: Node) -> None:
+        """Own live channels from now on, where the settings name classes of them."""
+        rule = self.settings.channels
+        if rule is None or node.leases is None:
+            return
+        from paddlequay.cluster.channels import Channels
+        from paddlequay.net.channels import ChannelFront
+
+        now, drawn = self.loop.time(), random.Random(self.seed ^ node.liveness.incarnation)
+        part = Channels(self.fleet, self.settings.bounds, rule, node.leases, drawn, now)
+        node.join(part, Channels.HEARS)
+
+        def tell(actions: Sequence[Action]) -> None:
+            self.act(node, actions)
+
+        zone = self.fleet.zone
+        self.front = ChannelFront(part, zone, self.exchange, self.counters, tell, self.loop.time)
+
+    def act(self, node: Node, actions: Sequence[Action]) -> None:
+        """Let follow what something of this life asks for."""
+        if node is self.node:
+            self.told(node.settle(actions, self.loop.time()))
+            self.wake(now=True)
+
     def leave(self) -> None:
         """Give back what others would have to wait for; the rest goes on, as in a drain."""
         if self.node is not None and self.peers is not None:
-            self.told(self.node.leave(self.loop.time()))
+            now = self.loop.time()
+            self.told(self.node.leave(now))
+            if self.placing is not None:
+                self.told(self.node.settle(self.placing.leave(now), now))
+            if self.front is not None:
+                self.told(self.node.settle(self.front.channels.drain(now), now))
             self.peers.flush()
 
     def stop(self) -> None:
@@ -128,97 +160,31 @@
             self.waiting.cancel()
         if self.peers is not None:
             self.peers.close()
-        self.node = self.peers = None
+        if self.placing is not None:
+            self.placing.part()
+            self.placing.stop()
+        self.node = self.peers = self.front = self.leaves.limits = None
 
     # --- the exchange's Watch ---
 
     def asked(self, item: Open, left: float) -> float | None:
-        limits = self.node.limits if self.node is not None else None
-        if limits is None:
-            return OUT_PAUSE if self.node is None and self.shut(item.ask) else None
-        answer = limits.admit_all(self.under(item.ask), self.loop.time(), left)
+        wait = self.leaves.asked(item, left)
+        if wait is None:
+            if self.front is not None:
+                self.front.asked(item)
+            if self.placing is not None:
+                self.placing.asked(item.ask)
         self.wake()
-        if isinstance(answer, Ticket):
-            if answer.limits:
-                self.requests[item.serial] = Leave(answer, self.loop.time())
-                self.counters.add("limit.admitted")
-            return None
-        self.counters.add(f"limit.refused.{answer.rule}")
-        return answer.retry_in
-
-    @staticmethod
-    def under(ask: Ask) -> list[tuple[By, str]]:
-        """What a request falls under."""
-        under: list[tuple[By, str]] = [(By.CLASS, ask.class_name)]
-        if ask.group is not None:
-            under.append((By.GROUP, str(ask.group)))
-        if ask.tenant is not None:
-            under.append((By.TENANT, ask.tenant))
-        return under
-
-    def renewed(self, attempt: Attempt, left: float) -> bool:
-        """Whether the request's leave still stands for its first write.
-
-        One that was given longer ago than `LEAVE_S` has to be given anew: a process that was stopped between,
-        or waited for a connection, may not act on what it held.
-        """
-        leave, now = self.requests.get(attempt.owner.serial), self.loop.time()
-        if leave is None or leave.used or self.node is None or self.node.limits is None:
-            return True
-        leave.used = True
-        if now - leave.at <= LEAVE_S:
-            return True
-        self.give_back(leave.ticket)
-        del self.requests[attempt.owner.serial]
-        answer = self.node.limits.admit_all(self.under(attempt.owner.ask), now, left)
-        if not isinstance(answer, Ticket):
-            return False
-        self.requests[attempt.owner.serial] = Leave(answer, now, used=True)
-        return True
-
-    def shut(self, ask: Ask) -> bool:
-        """Whether it falls under a strict limit, of which an earlier process may still use the share."""
-        told = {By.CLASS: ask.class_name, By.TENANT: ask.tenant, By.GROUP: str(ask.group)}
-        return any(
-            rule.mode is Mode.STRICT and told.get(rule.by) is not None and rule.match in ("*", told[rule.by])
-            for rule in self.settings.limits
-        )
+        return wait
 
     def writing(self, attempt: Attempt, left: float) -> Note | None:
-        limits = self.node.limits if self.node is not None else None
-        if limits is None:
-            return None
-        if not self.renewed(attempt, left):
-            self.counters.add("limit.too_late")
-            return Note.FILLS_FULL
-        fetch, members = attempt.fetch, self.exchange.members
-        under = [*self.of(By.MEMBER, members.get(fetch.target))]
-        if fetch.source != fetch.target:
-            under += self.of(By.SOURCE, members.get(fetch.source))
-        elif fetch.target not in self.exchange.router.names_of_edges():
-            under = [*self.of(By.SOURCE, members.get(fetch.target))]  # asked past the caches
-        answer = limits.admit_all(under, self.loop.time(), left)
+        note = self.front.writing(attempt) if self.front is not None else None
+        note = note or self.leaves.writing(attempt, left)
         self.wake()
-        if not isinstance(answer, Ticket):
-            self.counters.add(f"limit.refused.{answer.rule}")
-            return Note.SOURCE_REFUSED if fetch.source != fetch.target else Note.FILLS_FULL
-        if answer.limits:
-            self.writes.setdefault(attempt.owner.serial, []).append((attempt, answer))
-        return None
-
-    def of(self, by: By, member: Member | None) -> Iterable[tuple[By, str]]:
-        """A member falls under the limits of its name, and of its kind where one is set for that."""
-        if member is not None:
-            yield by, member.name
-            if member.kind is not None and member.kind in self.matches:
-                yield by, member.kind
+        return note
 
     def ended(self, attempt: Attempt, end: End) -> None:
-        for place, (out, ticket) in enumerate(self.writes.get(attempt.owner.serial, ())):
-            if out is attempt:
-                self.give_back(ticket)
-                del self.writes[attempt.owner.serial][place]
-                break
+        self.leaves.ended(attempt)
         if self.node is None or self.node.verdicts is None or attempt.written is None:
             return
         verdicts = self.node.verdicts
@@ -236,15 +202,9 @@
         self.wake(bool(actions))
 
     def over(self, item: Open) -> None:
-        leave = self.requests.pop(item.serial, None)
-        if leave is not None:
-            self.give_back(leave.ticket)
-        for _, out in self.writes.pop(item.serial, ()):
-            self.give_back(out)
-
-    def give_back(self, ticket: Ticket) -> None:
-        if self.node is not None and self.node.limits is not None:
-            self.node.limits.done(ticket, self.loop.time())
+        self.leaves.over(item)
+        if self.front is not None:
+            self.front.over(item)
 
     def wake(self, now: bool = False) -> None:
         """What was asked may have to be told earlier than the timer is set for."""
@@ -260,6 +220,8 @@
             self.say(each)
             if isinstance(each, VerdictChanged):
                 self.pass_on(each)
+            elif isinstance(each, TableChanged) and self.placing is not None:
+                self.placing.changed(each)
 
     def pass_on(self, word: VerdictChanged) -> None:
         """A word goes to the decisions, if it still holds now."""
@@ -296,40 +258,6 @@
             self.logged[name] = now
             log.event(LOGGER, logging.INFO, f"cluster_{name}", **dict(fields(news)))
 
-    # --- for operators ---
-
-    def page(self) -> str:
-        """What this router believes and holds now, as JSON."""
-        node, now = self.node, self.loop.time()
-        if node is None:
-            return json.dumps({"me": self.fleet.me, "at": time.time(), "out": True})
-        page: dict[str, Any] = {
-            "me": node.fleet.me,
-            "incarnation": node.liveness.incarnation,
-            "at": time.time(),
-            "peers": {peer: node.liveness.standing(peer).value for peer in range(node.fleet.size)},
-            "leases": {},
-            "limits": {},
-            "words": {},
-            "sent": dict(node.outbox.counts),
-        }
-        if node.leases is not None and node.limits is not None:
-            for rule, kept in node.limits.rules.values():
-                holder = node.leases.holder(kept.lease, now)
-                term = node.leases.holds(kept.lease, now)
-                page["leases"][f"limit/{rule.name}"] = {"holder": holder, "term": term}
-            kept_now = Counter(line.rule.name for line in node.limits.lines.values())
-            for rule in self.settings.limits:
-                refused = self.counters.counts[f"limit.refused.{rule.name}"]
-                page["limits"][rule.name] = {"values": kept_now[rule.name], "refused": refused}
-        if node.verdicts is not None:
-            for subject, name in list(self.names.items())[-PAGE_WORDS:]:
-                word = node.verdicts.word(subject, now)
-                if word is not None:
-                    trouble = word.trouble.name.lower()
-                    page["words"][name] = {"is": trouble, "by": word.witnesses, "age_s": round(word.age, 3)}
-        return json.dumps(page)
-
 
 class Life:
     """One life's side of the socket: what still comes for an earlier one has no effect."""
