--- a/paddlequay/cluster/channels.py
+++ b/paddlequay/cluster/channels.py
@@ -46,7 +46,7 @@
 BEAT_S = 0.5  # an owner that has filled nothing says so
 SILENT_S = 1.2  # an owner not heard for so long is looked for: well under a lease, over two lost beats
 SPREAD_S, CROWD = 0.4, 64.0  # over which those who look for the same owner are spread
-DENIED_S = 0.5  # after a router has said that it owns nothing, what acceptors told of it is no word
+DENIED_S = 1.0  # after a router has said that it owns nothing, what acceptors told of it is no word
 PATIENCE_S = 0.25  # of a bid that is told of a holder: one acceptor's word may be of an election that fails
 BIDS, BIDS_BURST = 10.0, 4.0
 
@@ -215,6 +215,9 @@
         if not bundle.live or self.handoff.draining or bundle.overlap is not None:
             bundle.bids_from = None
             return out
+        holder = self._holder(bundle, now)
+        if bundle.owner is None and holder is not None and not bundle.wanted:
+            self._owner(bundle, holder, now)
         owner = bundle.owner
         if owner is not None and now - bundle.followed >= FOLLOW_S:
             bundle.followed = now
@@ -222,8 +225,7 @@
             out.append(Tell(owner, self.handoff.said(now), Urgency.ROUTINE))
         lost = owner is None or owner in self.handoff.away or now - bundle.heard >= SILENT_S
         # A lost owner's lease runs on for a while: a bid before its end would find it, and nothing else.
-        held = self._holder(bundle, now) is not None
-        if lost and bundle.bids_from is None and not bundle.wanted and not held:
+        if lost and bundle.bids_from is None and not bundle.wanted and holder is None:
             bundle.bids_from = now + self.spread()
         return out
 
@@ -274,8 +276,10 @@
                 return [Tell(sender, Ready(bundle.lease, max(1, bundle.seen), 0), Urgency.NEWS)]
             return []
         if not note.yes and bundle.owner == sender:
-            # It is the owner no more, or what an acceptor told was of a lost election: the next look bids.
+            # It is the owner no more, or what an acceptor told was of a lost election. Who has followed it is
+            # asked for at once; where nobody has, a bid comes by itself.
             bundle.owner, bundle.denied, bundle.denied_at = None, sender, now
+            return self.leases.ask(bundle.lease, now)
         return self.handoff.ready(sender, bundle, note, now)
 
     # --- owning ---
--- a/tests/cluster/test_channels.py
+++ b/tests/cluster/test_channels.py
@@ -91,6 +91,17 @@
         in_order(world)
 
 
+def test_who_follows_finds_the_new_owner_soon_after_a_move() -> None:
+    for seed in range(20):
+        world = World(seed, delay=(0.001, 0.02))
+        owner = world.settled()
+        world.act(owner, world.all[owner].channels.drain(world.all[owner].clock))
+        assert world.run(4.0, lambda world=world, owner=owner: world.moved(owner))  # type: ignore[misc]
+        world.run(0.4)
+        (new,) = world.owners()
+        assert set(range(5)) - {owner, new} <= world.all[new].channels.bundles.all[0].followers.keys(), seed
+
+
 def in_order(world: World) -> None:
     """The tier takes no fill under a lower term than before."""
     for channel in {fill.ahead.channel for fill in world.fills}:
@@ -254,6 +265,9 @@
         self.by: int | None = None
         self.wants: list[int] = []
 
+    def ask(self, lease: int, now: float) -> list[Action]:
+        return []
+
     def want(self, lease: int, now: float) -> list[Action]:
         self.wants.append(lease)
         return []
--- a/tests/test_channel_front.py
+++ b/tests/test_channel_front.py
@@ -27,6 +27,9 @@
 
     term: int | None = 0x99
 
+    def ask(self, lease: int, now: float) -> list[Action]:
+        return []
+
     def want(self, lease: int, now: float) -> list[Action]:
         return []
 
