Test epochs of placement on real routers, and show the table that an epoch names

Seen: the operators' page showed under a new epoch the table that shards still move away from (the mover waits for its pace), which reads as two tables under one epoch. The page now tells both: the table of the epoch and the one followed. Test: three routers, rules changed one router at a time, one cut off past its bound (falls back in 2.5 s), healed, rolled back: one table to an epoch at all routers, no epoch goes back, nothing spoilt.

--- a/paddlequay/net/placing.py
+++ b/paddlequay/net/placing.py
@@ -264,7 +264,8 @@
         epoch = tables.in_use(now) if tables is not None else None
         page: dict[str, object] = {
             "epoch": None if epoch is None else mark(epoch),
-            "in_use": None if epoch is None or mover is None else mover.table.digest,
+            "table": None if epoch is None or tables is None else f"{tables.table(now) or 0:016x}",
+            "follows": None if epoch is None or mover is None else mover.table.digest[:16],
             "compiled": None if self.own is None else self.own.digest,
             "members": None if self.own is None else len(self.own.names),
             "short": {} if self.own is None else self.own.short(),
