Ask for a share again only when that can change it, so that grants leave room for leases

A refused router repeated its Need twenty times a second, to all routers where the holder was unknown, and grants went with a lease's urgency: 40 routers with twice a limit's demand spent the holder's bytes on grants, so that it lost its lease every 8 s and 28 % of the limit lay idle. Now a Need that was answered is told again when demand has changed, or after two thirds of a grant's life; unanswered ones wait longer each time and go to those who may hold the lease; grants go as news.

--- a/paddlequay/cluster/limits.py
+++ b/paddlequay/cluster/limits.py
@@ -1,8 +1,8 @@
 """Limits that hold over all routers: each has a floor for good, and a grant beside it by what it needs.
 
-docs/limits.md weighs the ways and gives the proof. A grant lives `Bounds.grant` from when its Need was sent,
-less the drift; the name of a limit for one value tells the rule that it belongs to, so that a holder knows of
-values that it has never seen itself. Admission waits for nothing: it decides by what is held now.
+docs/cluster/limits.md weighs the ways and gives the proof. A grant lives `Bounds.grant` from when its Need
+was sent, less the drift; the name of a limit for one value tells the rule that it belongs to, so that a
+holder knows of values that it has never seen itself. Admission waits for nothing: it decides by what is held.
 """
 
 import heapq
@@ -37,7 +37,9 @@
 KEYS_MOST = 4096  # limits of single values that a router keeps at a time
 LOOKED_AT = 8  # oldest ones that are tried when one has to go
 SENT_MOST = 16  # Needs of a limit whose answers would still be taken
-SOONER = 12  # a refusal asks anew at once, but at most so many times in a grant's life
+SOONER = 12  # a demand that has changed is told at once, but at most so many times in a grant's life
+RENEW = 2 / 3  # of a grant's life until it is asked for anew: two tries are left before its end
+AGAIN = 1 / 7  # of a grant's life until a Need that has no answer is sent again, later each time
 NUMBERS = 20  # bits of a Need's number below the incarnation: two processes never use the same
 NUMBER_MOST = 2**63
 
@@ -82,6 +84,7 @@
     asked_at: float = -NEVER
     vain: float = NEVER  # since when Needs have gone unanswered
     refused: bool = False  # since the last Need
+    told: int = 0  # thousandths that the last Need asked for
     loud: float = -NEVER  # when all were asked
 
 
@@ -194,7 +197,7 @@
             line.store.take(number, now, lasts)
             if isinstance(line.store, Bucket):
                 line.store.asked.add(now)
-            self.want(limit, line, max(now, line.asked_at + self.bounds.grant / 3))
+            self.want(limit, line, max(now, line.asked_at + self.bounds.grant * RENEW))
         return Ticket(number, tuple(lines))
 
     def done(self, ticket: Ticket, now: float) -> None:
@@ -277,14 +280,22 @@
         milli = min(line.store.demand(now), line.kept.whole.limit.milli)
         if milli <= line.kept.whole.floor.milli and not line.refused:
             return []
+        renewed = line.asked_at + self.bounds.grant * RENEW
+        if line.number in line.sent and now < renewed and abs(milli - line.told) * 8 <= line.told:
+            # Refused, but its last Need was answered, and the same again would get the same.
+            self.want(limit, line, renewed)
+            return []
         line.refused = False
+        line.told = milli
         number = next(self.numbers)
         line.sent[number] = line.asked_at = now
         for old in [old for old, at in line.sent.items() if at + line.kept.life < now]:
             del line.sent[old]
         while len(line.sent) > SENT_MOST:
             del line.sent[next(iter(line.sent))]
-        self.want(limit, line, now + self.bounds.grant / 3)
+        # Where nothing answers, or the holder is too busy to, each wait is as long as all before it.
+        again = max(self.bounds.grant * AGAIN, now - line.vain)
+        self.want(limit, line, now + min(again, self.bounds.grant))
         lease = line.kept.lease
         term, holder = self.holders.get(lease, (0, self.fleet.me))
         need = Need(limit, number, milli, term)
@@ -299,8 +310,9 @@
             return [Tell(holder, need, Urgency.NEWS)]
         if now < line.loud + patience:
             return []
-        line.loud = now  # nobody known answers: ask whoever holds the lease
-        return [Tell(None, need, Urgency.NEWS)]
+        line.loud = now  # nobody known answers: ask all who may hold the lease
+        voters = [peer for peer in self.fleet.acceptors if peer != self.fleet.me]
+        return [Tell(peer, need, Urgency.NEWS) for peer in voters or (None,)]
 
     def hear(self, sender: Peer, incarnation: int, note: Note, now: float) -> list[Action]:
         if isinstance(note, Need):
@@ -308,7 +320,7 @@
             if known is None:
                 return []
             grant = self.granter.need(known[1], sender, incarnation, note, now)
-            return [] if grant is None else [Tell(sender, grant, Urgency.LEASE)]
+            return [] if grant is None else [Tell(sender, grant, Urgency.NEWS)]
         if isinstance(note, Grant):
             self.take(sender, note, now)
         return []
@@ -329,6 +341,9 @@
         line.store.advance(now, self.cut_off(line))
         line.number = note.number
         line.vain = NEVER
+        if line.next != NEVER and note.number == max(line.sent):
+            line.next = max(line.next, line.asked_at + self.bounds.grant * RENEW)
+            heapq.heappush(self.heap, (line.next, note.limit))
         self.seen(line.kept.lease, sender, note.term)
         until = sent + min(note.life_ms / 1000, line.kept.life) * (1 - self.bounds.drift)
         if until > now:
