--- a/paddlequay/net/sharing_page.py
+++ b/paddlequay/net/sharing_page.py
@@ -10,6 +10,7 @@
     from paddlequay.net.sharing import Sharing
 
 WORDS_MOST = 200  # subjects shown
+SHOWN = ("cluster.", "limit.", "channels.", "placement_", "peers.")  # counters
 
 
 def page(sharing: "Sharing") -> str:
@@ -26,6 +27,7 @@
         "limits": limits(sharing, node),
         "words": words(sharing, node, now),
         "sent": dict(node.outbox.counts),
+        "counts": {name: n for name, n in sharing.counters.counts.items() if name.startswith(SHOWN)},
     }
     if sharing.front is not None:
         bundles = sharing.front.channels.bundles
