--- a/paddlequay/cli/lab.py
+++ b/paddlequay/cli/lab.py
@@ -27,7 +27,18 @@
     sys.exit(0 if good else 1)
 
 
-NAMES = ("cluster", "discovery", "dns-outage", "fleet", "hierarchy", "homes", "members", "model", "placement")
+NAMES = (
+    "cluster",
+    "discovery",
+    "dns-outage",
+    "fleet",
+    "hierarchy",
+    "homes",
+    "members",
+    "model",
+    "placement",
+    "tables",
+)
 
 
 @lab.command("run")
@@ -42,7 +53,7 @@
 )
 def run_(name: str, quick: bool, seed: int, out: Path | None, base: Path | None) -> None:
     """Play experiment NAME; exit 0 when all its claims hold, 1 when not."""
-    from paddlequay.lab import cluster, fleet, homes, model, placement, reshape, sources
+    from paddlequay.lab import cluster, fleet, homes, model, placement, reshape, sources, tables
     from paddlequay.lab.claims import Setup
 
     folder = out or Path(tempfile.mkdtemp(prefix=f"paddlequay-{name}-"))
@@ -56,6 +67,7 @@
         "members": sources.members,
         "model": model.run,
         "placement": placement.run,
+        "tables": tables.run,
     }
     results = homes.run(setup, base) if name == "homes" else plain[name](setup)
     click.echo(results.text())
