--- a/paddlequay/interface.py
+++ b/paddlequay/interface.py
@@ -1,7 +1,7 @@
 """The project's own interface: what a router is told (settings, events) and what it asks for (actions).
 
 Times are seconds; `now` is any clock that does not go back. `None` always means "not told", never a default:
-what to do without a value is for `paddlequay.logic` to decide.
+what to do without a value is for `paddlequay.policy` to decide.
 """
 
 from collections.abc import Mapping
@@ -195,6 +195,13 @@
     knowledge: Mapping[str, float]
 
 
+@dataclass(frozen=True, slots=True)
+class FleetWord:
+    """Several routers have lately found a member failing or silent: a hint, fresh when it is handed in."""
+
+    member: str
+
+
 @dataclass(frozen=True, slots=True)
 class Purged:
     """An object, or without `key` a whole group, was purged `age` seconds ago."""
@@ -219,6 +226,7 @@
     | ClientGone
     | Surrender
     | Inherited
+    | FleetWord
     | Purged
     | TimerDue
 )
