--- a/paddlequay/policy/ladder.py
+++ b/paddlequay/policy/ladder.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 from itertools import chain, islice
 
-from paddlequay.interface import Cause, Effect
+from paddlequay.interface import Cause
 from paddlequay.placement.homes import digest, place
 from paddlequay.policy.beliefs import Beliefs
 from paddlequay.policy.hotness import SPREAD_READS
@@ -12,16 +12,6 @@
 Rung = tuple[Server, Server]  # target and source; the same one twice is a look at what it holds
 
 
-def same_group(item: Open, server: Server) -> bool:
-    """Whether the server drops repeats of what may have run already."""
-    ran = item.may_have_run
-    if ran is None or item.kind.effect is Effect.SAFE or item.kind.repeat_group == "all":
-        return True
-    if item.kind.repeat_group == "zone":
-        return server.entry.zone == ran.target.entry.zone
-    return server.entry.cell == ran.target.entry.cell
-
-
 class Ladder:
     """Reads what the parts believe; its own are `link_full` and `held_only` of a request."""
 
@@ -39,7 +29,7 @@
         origins = self.know.members.origins
         if self.know.settings.direct:
             for origin in origins:
-                if origin.entry.name not in item.failed and same_group(item, origin):
+                if origin.entry.name not in item.failed and item.same_group(origin):
                     return origin, origin
         if item.unfillable:
             return None
@@ -96,7 +86,7 @@
     def pick_edge(self, item: Open, now: float) -> tuple[Server | None, bool]:
         """The hash of object and part, over two above a rate, the next where it fails; and was one busy?"""
         ranked = self.ranked(Tier.EDGE, place(item.request.key, item.request.part), now)
-        fit = (e for e in ranked if same_group(item, e) and e.entry.name not in item.failed)
+        fit = (e for e in ranked if item.same_group(e) and e.entry.name not in item.failed)
         first = sorted(islice(fit, 2), key=lambda e: e.out) if item.seen.reads > SPREAD_READS else []
         busy = None
         for edge in chain(first, fit):
--- a/paddlequay/records.py
+++ b/paddlequay/records.py
@@ -8,7 +8,7 @@
 from enum import Enum
 
 from paddlequay.fleet.cold import Bucket
-from paddlequay.interface import Member, Request, RequestClass, State
+from paddlequay.interface import Effect, Member, Request, RequestClass, State
 
 
 class Tier(Enum):
@@ -116,6 +116,15 @@
         return self.attempts[number]
 
     @property
+    def same_group(self, server: Server) -> bool:
+        """Whether the server drops repeats of what may have run already, by the class's word."""
+        ran = self.may_have_run
+        if ran is None or self.kind.effect is Effect.SAFE or self.kind.repeat_group == "all":
+            return True
+        if self.kind.repeat_group == "zone":
+            return server.entry.zone == ran.target.entry.zone
+        return server.entry.cell == ran.target.entry.cell
+
     def waiting(self) -> Attempt | None:
         """The attempt that is out, while nothing of its answer has come."""
         last = self.attempts[-1] if self.attempts and not self.streaming else None
