Start limits from members' sizes where weights tell them, and cut them no lower

A line a request tells that the limits of parents that bear 16 and 22 transfers stood at 2 to 9 and went as low as 2.0, and those of edges that bear 3.5 at 2 to 19. Checked: work out at a parent was under 10 at over 95% of fills, and answers were no later for it (late 0.04 to 0.12 up to 10 out).

At fault: `Limits.pace`, which cut for lateness down to two requests whatever the member's size, and `LIMIT_START`, one number for all sizes: our own site tells no weights (`weights` off). Where weights tell ways out in transfers (`weights` nominal or rough, and `oneFlowKbPerS`), a limit starts at 1.5 times that, is cut to that at least, as what fits is never late by itself, is shared by all routers at a parent, and is not sought upwards where nothing could lower it again.

The tests fail with each line taken out.

--- a/paddlequay/policy/limits.py
+++ b/paddlequay/policy/limits.py
@@ -10,6 +10,7 @@
 LIMIT_LEAST, LIMIT_MOST = 2.0, 1000.0  # out at a member by all routers, in mean requests
 # What an edge can bear, its first report tells within a second; parents, asked by edges, report to no router.
 LIMIT_START = {Tier.EDGE: 10.0, Tier.PARENT: 30.0, Tier.ORIGIN: 30.0}
+FITS_START = 1.5  # of the transfers that fit a way out, where told; what fits is never late by itself
 FILL_SHARE = 0.33  # of the work at edges that is filled, where notes do not tell; parents' limits use it too
 LIMIT_CHANCE = 1.5  # roots of its share that a router may be above it: few requests come unevenly
 LIMIT_FIND = 0.2  # growth a second of a parent's limit until its first jam: nothing else finds it
@@ -32,7 +33,8 @@
         """Share limits among all routers, by how many edges fill from how many; `askers`: as told instead."""
         fills = FILL_SHARE * max(1, edges) / (self.settings.routers or 1)
         self.sharers[Tier.EDGE] = self.settings.routers_here or 1
-        self.sharers[Tier.PARENT] = askers or max(1, parents) / fills
+        askers_of_parents = askers or (self.settings.routers if self.settings.sized else None)
+        self.sharers[Tier.PARENT] = askers_of_parents or max(1, parents) / fills
         self.sharers[Tier.ORIGIN] = askers or max(1, origins) / fills
 
     def take(self, attempt: Attempt, cost: float) -> None:
@@ -74,12 +76,12 @@
         out = server.out * self.sharers[server.tier]
         if server.late <= LATE_SHARE:
             if out > server.limit / 2:
-                finding = server.cut_at == -math.inf and server.tier is not Tier.EDGE
+                finding = server.cut_at == -math.inf and server.tier is not Tier.EDGE and not server.fits
                 growth = LIMIT_FIND if finding else LIMIT_GROWTH
                 server.limit = min(LIMIT_MOST, server.limit * math.exp(growth * min(since, 1.0)))
         elif late and now - server.cut_at >= LIMIT_PAUSE_S:
             server.cut_at = now
-            server.limit = max(LIMIT_LEAST, min(server.limit, out + 1.0) * LIMIT_CUT)
+            server.limit = max(LIMIT_LEAST, server.fits or 0.0, min(server.limit, out + 1.0) * LIMIT_CUT)
 
     def inherit(self, servers: Iterable[Server], told: Mapping[str, float]) -> None:
         """A limit cut below the first one is not taken over: it regains slowly, a start finds anew."""
--- a/paddlequay/policy/members.py
+++ b/paddlequay/policy/members.py
@@ -6,7 +6,7 @@
 from paddlequay.fleet.room import Room
 from paddlequay.interface import MembersChanged, Ramp, Settings, State
 from paddlequay.placement.homes import Homes
-from paddlequay.policy.limits import LIMIT_START
+from paddlequay.policy.limits import FITS_START, LIMIT_START
 from paddlequay.records import Server, Tier
 
 
@@ -41,7 +41,9 @@
                 # and old failures would keep it skipped, old limits and copies unused or hoped for.
                 left += self.drop(entry.name)
                 tier = self.tiers.get(entry.kind, Tier.EDGE)
-                self.servers[entry.name] = Server(entry, tier, now, limit=LIMIT_START[tier])
+                fits = entry.weight if self.settings.sized and tier is not Tier.ORIGIN else None
+                limit = FITS_START * fits if fits else LIMIT_START[tier]
+                self.servers[entry.name] = Server(entry, tier, now, fits=fits, limit=limit)
             else:
                 known.entry = entry
         self.rebuild(now)
--- a/paddlequay/records.py
+++ b/paddlequay/records.py
@@ -35,6 +35,7 @@
     ok_at: float = -math.inf
     trial_at: float = 0.0
     trial: str | None = None
+    fits: float | None = None  # transfers at full pace that its way out bears, where that is told
     # limits.py: work out there, and the limit of it, in mean requests
     limit: float = 0.0
     out: float = 0.0
@@ -115,7 +116,6 @@
         self.attempts[number].over = True
         return self.attempts[number]
 
-    @property
     def same_group(self, server: Server) -> bool:
         """Whether the server drops repeats of what may have run already, by the class's word."""
         ran = self.may_have_run
@@ -125,6 +125,7 @@
             return server.entry.zone == ran.target.entry.zone
         return server.entry.cell == ran.target.entry.cell
 
+    @property
     def waiting(self) -> Attempt | None:
         """The attempt that is out, while nothing of its answer has come."""
         last = self.attempts[-1] if self.attempts and not self.streaming else None
--- /dev/null
+++ b/tests/test_policy_sizes.py
@@ -0,0 +1,61 @@
+"""Limits where the settings tell members' ways out, and answers carry neither notes nor load."""
+
+import math
+
+import pytest
+from driver import EDGES, ORIGIN, PARENTS, Driver
+
+from paddlequay.interface import AttemptEnded, Member, Outcome, State
+from paddlequay.policy.limits import FITS_START, LIMIT_GROWTH, LIMIT_START
+from paddlequay.records import Tier
+
+FITS = 4.0
+SIZED_EDGES = tuple(Member(each.name, "here", "cache", 0, State.READY, FITS) for each in EDGES)
+SIZED_PARENTS = tuple(Member(each.name, "hub", "parent", 0, State.READY, 20.0) for each in PARENTS)
+SIZED = (*SIZED_EDGES, *SIZED_PARENTS, ORIGIN)
+
+
+def sized(link: float | None = None, **changes: object) -> Driver:
+    """A router alone at its edges, whose answers carry neither notes nor load; the link in transfers."""
+    told: dict[str, object] = {"routers": 2, "routers_here": 1, "flow_kb_per_s": 1000.0, "weights": "nominal"}
+    told |= {"notes": False, "joins": False, "link_kb_per_s": link and 1000.0 * link}
+    return Driver(members=SIZED, **(told | changes))
+
+
+def late(driver: Driver, times: int) -> None:
+    """So many answers far past their aim, none with a note."""
+    for key in range(times):
+        fetch = driver.fetch(key)
+        driver.now += 0.6
+        ended = AttemptEnded(fetch.request, 0, fetch.target, Outcome.SERVED, 2.0, True)
+        driver.router.handle(ended, driver.now)
+
+
+@pytest.mark.parametrize(("weights", "known"), [("nominal", True), ("off", False), (None, False)])
+def test_limits_start_from_the_size_of_a_way_out_only_where_weights_tell_it(
+    weights: str | None, known: bool
+) -> None:
+    servers = sized(weights=weights).router.know.members.servers
+    for tier, name in ((Tier.EDGE, "edge-0"), (Tier.PARENT, "parent-0"), (Tier.ORIGIN, ORIGIN.name)):
+        fits = servers[name].entry.weight if known else None
+        assert servers[name].fits == fits
+        assert servers[name].limit == (FITS_START * fits if fits else LIMIT_START[tier])
+
+
+def test_late_answers_cut_no_limit_below_what_the_way_out_bears_at_full_pace() -> None:
+    """rough-1: limits of parents of 16 and 22 transfers were cut to 2, and 506 of 729 refusals came of it."""
+    driver = sized()
+    late(driver, 60)
+    limits = [driver.router.know.members.servers[each.name].limit for each in SIZED_EDGES]
+    assert min(limits) == FITS < FITS_START * FITS
+
+
+def test_a_parents_limit_is_not_sought_past_its_told_size_while_nothing_can_lower_it() -> None:
+    limits, servers = (driver := sized()).router.know.limits, driver.router.know.members.servers
+    for sought in (servers["parent-0"], servers[ORIGIN.name]):
+        sought.out, start = sought.limit, sought.limit
+        for _ in range(20):
+            driver.now += 1.0
+            limits.pace(sought, False, driver.now)
+        told = sought.fits is not None
+        assert (sought.limit < start * math.exp(21 * LIMIT_GROWTH)) is told
