Hold lateness against the edge, not the parent, where no note tells who was late

At fault: `Answers.served`, `by_source` true where neither note nor wait was told.

With notes nothing changes. The test fails with the line as it was.

--- a/paddlequay/policy/answers.py
+++ b/paddlequay/policy/answers.py
@@ -81,9 +81,10 @@
             source.bucket.take(-work)
         # A late answer that did not wait for its fill says nothing of who filled it: one edge that bore
         # all of its location was late, and the parents' limits were cut for it.
-        by_source = filled and (event.waited is None or event.waited > WAITED_SHARE * event.latency)
+        # Without a note any of both may be late, or the link; `Link` and what fits there bound the source.
+        waited = event.note and (event.waited is None or event.waited > WAITED_SHARE * event.latency)
         late = self.know.latency.learn(item, event.latency)
-        self.know.limits.pace(source if by_source else attempt.target, late, now)
+        self.know.limits.pace(source if filled and waited else attempt.target, late, now)
         return said
 
     def blame(self, attempt: Attempt, event: AttemptEnded) -> Server:
--- a/tests/test_policy_sizes.py
+++ b/tests/test_policy_sizes.py
@@ -59,3 +59,11 @@
             limits.pace(sought, False, driver.now)
         told = sought.fits is not None
         assert (sought.limit < start * math.exp(21 * LIMIT_GROWTH)) is told
+
+
+def test_without_a_note_late_answers_are_not_held_against_the_parents() -> None:
+    driver = sized()
+    late(driver, 60)
+    for parent in SIZED_PARENTS:
+        server = driver.router.know.members.servers[parent.name]
+        assert server.late == 0.0 and server.limit == FITS_START * 20.0
