Shed fills by the size of the location's link that the settings tell, with no report asked

Load is told only to probes there, so `fleet/room.py` never hears that the link is full. Cause: nothing bounded fills through the link where no report comes.

Now the fills that this router has out from outside, times the routers of its location, over the transfers that fit, are the link's use (`fleet/link.py`), shed over 1 to 3 by each request's luck, dear classes first. Where no note tells, what is believed held goes by it as well: a look at its home at 1 ms a miss, and a hit is served. 0 in `inletKbPerS` is not told, and changes nothing.

The tests fail with each line taken out.

--- a/paddlequay/interface.py
+++ b/paddlequay/interface.py
@@ -98,6 +98,7 @@
     joins: bool | None = None
     notes: bool | None = None
     flow_kb_per_s: float | None = None
+    link_kb_per_s: float | None = None  # the link into the router's zone
     weights: str | None = None
     parallel: bool | None = None
     can_cancel: bool | None = None
--- a/paddlequay/policy/beliefs.py
+++ b/paddlequay/policy/beliefs.py
@@ -1,5 +1,6 @@
 """All that a router believes, by the part that owns it: nobody else writes a part's state."""
 
+from paddlequay.fleet.link import Link
 from paddlequay.fleet.origin import Waits
 from paddlequay.fleet.room import Room
 from paddlequay.interface import Settings
@@ -20,7 +21,8 @@
         self.origin_waits = Waits()
         self.members = Members(settings, self.room)
         self.health = Health(recall)
-        self.limits = Limits(settings, self.room)
+        self.link = Link.told(settings)
+        self.limits = Limits(settings, self.room, self.link)
         self.hotness = Hotness()
         self.latency = Latency(settings)
         self.purges = Purges(settings.purge_done)
--- a/paddlequay/policy/ladder.py
+++ b/paddlequay/policy/ladder.py
@@ -65,7 +65,7 @@
 
     def dear(self, item: Open) -> float:
         """The bytes of a request's class for its worth, beside the class kept that has most, in (0, 1]."""
-        if not (self.know.room.crowd and item.cacheable):
+        if not (item.cacheable and (self.know.room.crowd or self.know.link.fits)):
             return 1.0  # nothing is shed by it, and there may be no class that is kept
         work = self.know.latency.work
         kept = (kind for kind in self.know.settings.classes if not kind.uncacheable)
@@ -73,6 +73,11 @@
         return work[item.kind.name] / (item.kind.worth or 1.0) / most
 
     def ranked(self, tier: Tier, key: int, now: float) -> Iterator[Server]:
+    def draws(self, item: Open, now: float, kept: bool = True) -> bool:
+        """Whether it may fill through the zone's link, by reports on that and by what is out there."""
+        luck, dear = item.luck, self.dear(item)
+        return self.know.room.fills(luck, now, dear, kept) and self.know.link.fills(luck, dear, kept)
+
         """The homes of a key in order, by size where weights mean that, and by what a cold member can give.
 
         The scaled share moves objects to a newcomer once each as it warms, the same ones at every router;
@@ -94,7 +99,7 @@
                 if not self.know.limits.busy(edge, item, now):
                     return edge, busy is not None
                 busy = busy or edge
-                if not self.know.room.fills(item.luck, now, self.dear(item)):
+                if not self.draws(item, now):
                     break  # the next one would have to fill it through a link that is full
         if busy is not None and self.know.room.bears(busy.entry.name, item.luck, now):
             return busy, False
@@ -109,7 +114,8 @@
             for sibling in [servers[name] for name in held if name not in item.failed]:
                 if sibling.ready and not sibling.skipped and self.know.members.share(sibling, now) >= 1.0:
                     return sibling
-        if fills and not self.know.room.fills(item.luck, now, self.dear(item), kept=edge is not None):
+        # Where no note tells, nothing proves what is held: at a full link its home is asked for that first.
+        if (fills or not self.know.settings.notes) and not self.draws(item, now, kept=edge is not None):
             item.link_full = True  # what the home holds may still do
             return None
         shed = False
--- a/paddlequay/policy/limits.py
+++ b/paddlequay/policy/limits.py
@@ -3,6 +3,7 @@
 import math
 from collections.abc import Iterable, Mapping
 
+from paddlequay.fleet.link import Link
 from paddlequay.fleet.room import Room
 from paddlequay.interface import Settings
 from paddlequay.records import Attempt, Open, Server, Tier
@@ -25,8 +26,8 @@
 class Limits:
     """What is out at members, its limits, and how many routers' worth of sending meets at each."""
 
-    def __init__(self, settings: Settings, room: Room) -> None:
-        self.settings, self.room = settings, room
+    def __init__(self, settings: Settings, room: Room, link: Link) -> None:
+        self.settings, self.room, self.link = settings, room, link
         self.sharers: dict[Tier, float] = {}
 
     def spread(self, edges: int, parents: int, origins: int, askers: int | None = None) -> None:
@@ -42,12 +43,14 @@
         attempt.target.out += cost
         if attempt.fills:
             attempt.source.out += cost
+            self.link.out += attempt.source.tier is not Tier.EDGE
 
     def release(self, attempt: Attempt, cost: float) -> None:
         """Free what an attempt held."""
         attempt.target.out = max(0.0, attempt.target.out - cost)
         if attempt.fills:
             attempt.source.out = max(0.0, attempt.source.out - cost)
+            self.link.out -= attempt.source.tier is not Tier.EDGE
 
     def busy(self, server: Server, item: Open, now: float) -> bool:
         """Whether its limit is reached: large transfers reach it first, and a share under one sheds some."""
--- a/paddlequay/settings.py
+++ b/paddlequay/settings.py
@@ -67,12 +67,13 @@
     discovery = get("discovery", str)
     zone = need("locality", str)
     zones = get("localities", list) or []
+    here = zones.index(zone) if zone in zones else -1
     detail = get("extra.detail", str)
     return Settings(
         zone=zone,
         classes=classes,
         routers=get("groupSize", int),
-        routers_here=at("extra.countByZone", zones.index(zone), int) if zone in zones else None,
+        routers_here=at("extra.countByZone", here, int),
         parent_kind=kind_name("extra.parentKind"),
         origin_kind=kind_name("extra.rootKind"),
         siblings=get("extra.peersFill", str),
@@ -80,6 +81,7 @@
         joins=get("extra.mergesFills", bool),
         notes=None if detail is None else detail == "all",
         flow_kb_per_s=get("extra.oneFlowKbPerS", float),
+        link_kb_per_s=at("extra.inletKbPerS", here, float) or None,  # 0: not told
         weights=get("weights", str),
         parallel=get("limits.parallelTries", bool),
         can_cancel=get("limits.cancel", bool),
--- /dev/null
+++ b/tests/test_link.py
@@ -0,0 +1,64 @@
+"""The link into the location where settings tell its size: what is shed for it, what goes past edges."""
+
+import json
+
+import pytest
+from driver import fetches
+from harness import SETTINGS
+from test_policy_sizes import FITS, SIZED_PARENTS, sized
+
+from paddlequay.fleet.link import PAST_SPAN, SPAN, Link
+from paddlequay.interface import Fetch, Member, Outcome, Refuse, State
+from paddlequay.records import Tier
+from paddlequay.settings import settings_from
+
+
+@pytest.mark.parametrize(("told", "fits"), [(8000.0, 4.0), (0.0, None), (None, None)])
+def test_the_own_locations_link_is_read_and_0_is_not_told(told: float | None, fits: float | None) -> None:
+    data = json.loads(json.dumps(SETTINGS))
+    data["extra"] |= {"oneFlowKbPerS": 2000.0, "inletKbPerS": [0.0, told]}
+    if told is None:
+        del data["extra"]["inletKbPerS"]
+    settings = settings_from(data)
+    assert Link.told(settings).fits == fits and settings.link_kb_per_s == (told or None)
+
+
+def test_fills_are_shed_once_those_out_fill_the_link_and_let_in_again_as_they_end() -> None:
+    """big-2: in a release fills went on into links of ten transfers, and limits cut for it shed hits."""
+    driver = sized(link=2.0)
+    driver.router.know.limits.sharers[Tier.EDGE] = 0.01  # edges have room: the link alone is in question
+    out: list[Fetch] = []
+    while len(out) < SPAN[1] * 2.0:
+        out += [fetch for fetch in fetches(driver.ask(len(out))) if fetch.source != fetch.target]
+    look = driver.fetch(99)
+    assert look.target == look.source
+    (answer,) = driver.end(look, Outcome.MISS)
+    assert isinstance(answer, Refuse) and answer.cause == "link_full"
+    for fetch in out:
+        driver.serve(fetch)
+    assert driver.router.know.link.out == 0
+    again = driver.fetch(100)
+    assert again.target != again.source
+
+
+def test_what_no_note_proves_held_goes_by_the_link_too_and_with_notes_does_not() -> None:
+    for notes in (False, True):
+        driver = sized(link=1.0, notes=notes)
+        driver.serve(driver.fetch(7))
+        driver.router.know.link.out = 50
+        again = driver.fetch(7)
+        assert (again.source == again.target) is not notes
+
+
+def test_fills_from_siblings_take_nothing_of_the_link() -> None:
+    driver = sized(link=10.0)
+    driver.serve(driver.fetch())
+    driver.list(*[Member(f"new-{n}", "here", "cache", 0, State.READY, FITS) for n in range(40)])
+    second = driver.fetch()
+    assert second.only_held and driver.router.know.link.out == 0
+
+
+def test_what_no_cache_keeps_is_shed_before_what_one_does_and_the_dearest_class_first() -> None:
+    link = Link(fits=10.0, sharers=2.0, out=7)
+    assert link.use() == 1.4 and link.fills(luck=0.5) and not link.fills(luck=0.5, kept=False)
+    assert link.fills(luck=0.0, dear=0.25) and not link.fills(luck=0.0)
