Let requests past busy edges where the location's link is known to have room

Ruled out: limits of parents (nothing refused by them there), the pace of cold members (refusals begin seconds before one is back). At fault: `Ladder.next_rung`, which shed whatever a busy edge shed, as it could not know the room in the link.

Where the settings tell the link's size, and allow straight requests (`bypassAllowed`), such a request goes straight to a parent while the link's use is under 1 to 1.5; past that it is shed as before, and without a told size always.

The tests fail with the line taken out.

--- a/paddlequay/policy/ladder.py
+++ b/paddlequay/policy/ladder.py
@@ -49,7 +49,8 @@
         """
         edge, edge_busy = self.pick_edge(item, now)
         cause: Cause = "edge_busy" if edge_busy else "no_edge" if edge is None else "no_source"
-        if edge is None and (edge_busy or not self.know.settings.direct):
+        shut = edge_busy and not self.know.link.spare(item.luck)
+        if edge is None and (shut or not self.know.settings.direct):
             return cause
         source = None if item.unfillable else self.pick_source(item, edge, now)
         cause = "link_full" if item.link_full else cause
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -62,3 +62,27 @@
     link = Link(fits=10.0, sharers=2.0, out=7)
     assert link.use() == 1.4 and link.fills(luck=0.5) and not link.fills(luck=0.5, kept=False)
     assert link.fills(luck=0.0, dear=0.25) and not link.fills(luck=0.0)
+
+
+@pytest.mark.parametrize("link", [None, 100.0])
+def test_past_busy_edges_goes_only_what_the_link_is_known_to_have_room_for(link: float | None) -> None:
+    """big-1: two of three edges of a location died, and the third shed 525 requests beside an idle link."""
+    driver = sized(link)
+    past = refused = 0
+    for key in range(120):
+        for action in driver.ask(key):
+            refused += isinstance(action, Refuse) and action.cause == "edge_busy"
+            past += isinstance(action, Fetch) and action.target in {each.name for each in SIZED_PARENTS}
+    assert (past > 0) is (link is not None) and (refused > 0 or link is not None)
+
+
+def test_nothing_goes_past_busy_edges_once_the_link_has_no_room_for_it() -> None:
+    driver = sized(link=64.0)
+    link, past = driver.router.know.link, 0
+    for key in range(300):
+        use = link.use()
+        for fetch in fetches(driver.ask(key)):
+            if fetch.target in {each.name for each in SIZED_PARENTS}:
+                past += 1
+                assert use < PAST_SPAN[1]
+    assert past
