--- a/paddlequay/interface.py
+++ b/paddlequay/interface.py
@@ -110,12 +110,12 @@
     cold_parent: Ramp = Ramp()
     purge_done: float | None = None
 
-
     @property
     def sized(self) -> bool:
         """Whether weights tell members' ways out, in transfers at `flow_kb_per_s`."""
         return self.weights in ("nominal", "rough") and bool(self.flow_kb_per_s)
 
+
 @dataclass(frozen=True, slots=True)
 class Member:
     """One line of the list: an edge cache, a parent or the origin."""
--- a/paddlequay/policy/ladder.py
+++ b/paddlequay/policy/ladder.py
@@ -73,12 +73,12 @@
         most = max(work[kind.name] / (kind.worth or 1.0) for kind in kept)
         return work[item.kind.name] / (item.kind.worth or 1.0) / most
 
-    def ranked(self, tier: Tier, key: int, now: float) -> Iterator[Server]:
     def draws(self, item: Open, now: float, kept: bool = True) -> bool:
         """Whether it may fill through the zone's link, by reports on that and by what is out there."""
         luck, dear = item.luck, self.dear(item)
         return self.know.room.fills(luck, now, dear, kept) and self.know.link.fills(luck, dear, kept)
 
+    def ranked(self, tier: Tier, key: int, now: float) -> Iterator[Server]:
         """The homes of a key in order, by size where weights mean that, and by what a cold member can give.
 
         The scaled share moves objects to a newcomer once each as it warms, the same ones at every router;
