Cut limits of members of told size no lower than they start, one and a half of what fits

Without notes or reports lateness by the link and by untold sizes counts against the edge, and aims allow more than twice the sending time: between 1 and 1.5 of what fits a cut says nothing.

`dear` moves to `fleet/link.py`, unchanged.

--- a/paddlequay/fleet/link.py
+++ b/paddlequay/fleet/link.py
@@ -7,10 +7,11 @@
 them from hits: it is above the truth rather than below, and is measured by spans of its own.
 """
 
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
 from paddlequay.fleet.room import past
-from paddlequay.interface import Settings
+from paddlequay.interface import RequestClass, Settings
 
 # Aims allow twice the sending time and a constant: three times as long is late by itself.
 SPAN = (1.0, 3.0)
@@ -18,6 +19,12 @@
 PAST_SPAN = (1.0, 1.5)
 
 
+def dear(kind: RequestClass, kinds: Iterable[RequestClass], work: Mapping[str, float]) -> float:
+    """The bytes of a class that is kept for its worth, beside the class kept that has most, in (0, 1]."""
+    most = max(work[each.name] / (each.worth or 1.0) for each in kinds if not each.uncacheable)
+    return work[kind.name] / (kind.worth or 1.0) / most
+
+
 @dataclass(slots=True)
 class Link:
     """`fits`: transfers at full pace, None if not told; `sharers`: routers of the location; `out`: fills."""
--- a/paddlequay/policy/ladder.py
+++ b/paddlequay/policy/ladder.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 from itertools import chain, islice
 
+from paddlequay.fleet.link import dear
 from paddlequay.interface import Cause
 from paddlequay.placement.homes import digest, place
 from paddlequay.policy.beliefs import Beliefs
@@ -68,10 +69,7 @@
         """The bytes of a request's class for its worth, beside the class kept that has most, in (0, 1]."""
         if not (item.cacheable and (self.know.room.crowd or self.know.link.fits)):
             return 1.0  # nothing is shed by it, and there may be no class that is kept
-        work = self.know.latency.work
-        kept = (kind for kind in self.know.settings.classes if not kind.uncacheable)
-        most = max(work[kind.name] / (kind.worth or 1.0) for kind in kept)
-        return work[item.kind.name] / (item.kind.worth or 1.0) / most
+        return dear(item.kind, self.know.settings.classes, self.know.latency.work)
 
     def draws(self, item: Open, now: float, kept: bool = True) -> bool:
         """Whether it may fill through the zone's link, by reports on that and by what is out there."""
--- a/paddlequay/policy/limits.py
+++ b/paddlequay/policy/limits.py
@@ -11,7 +11,7 @@
 LIMIT_LEAST, LIMIT_MOST = 2.0, 1000.0  # out at a member by all routers, in mean requests
 # What an edge can bear, its first report tells within a second; parents, asked by edges, report to no router.
 LIMIT_START = {Tier.EDGE: 10.0, Tier.PARENT: 30.0, Tier.ORIGIN: 30.0}
-FITS_START = 1.5  # of the transfers that fit a way out, where told; what fits is never late by itself
+FITS_LEAST = 1.5  # of the transfers that fit a way out, where told: aims allow twice the sending time
 FILL_SHARE = 0.33  # of the work at edges that is filled, where notes do not tell; parents' limits use it too
 LIMIT_CHANCE = 1.5  # roots of its share that a router may be above it: few requests come unevenly
 LIMIT_FIND = 0.2  # growth a second of a parent's limit until its first jam: nothing else finds it
@@ -84,7 +84,8 @@
                 server.limit = min(LIMIT_MOST, server.limit * math.exp(growth * min(since, 1.0)))
         elif late and now - server.cut_at >= LIMIT_PAUSE_S:
             server.cut_at = now
-            server.limit = max(LIMIT_LEAST, server.fits or 0.0, min(server.limit, out + 1.0) * LIMIT_CUT)
+            least = max(LIMIT_LEAST, FITS_LEAST * (server.fits or 0.0))
+            server.limit = max(least, min(server.limit, out + 1.0) * LIMIT_CUT)
 
     def inherit(self, servers: Iterable[Server], told: Mapping[str, float]) -> None:
         """A limit cut below the first one is not taken over: it regains slowly, a start finds anew."""
--- a/paddlequay/policy/members.py
+++ b/paddlequay/policy/members.py
@@ -6,7 +6,7 @@
 from paddlequay.fleet.room import Room
 from paddlequay.interface import MembersChanged, Ramp, Settings, State
 from paddlequay.placement.homes import Homes
-from paddlequay.policy.limits import FITS_START, LIMIT_START
+from paddlequay.policy.limits import FITS_LEAST, LIMIT_START
 from paddlequay.records import Server, Tier
 
 
@@ -42,7 +42,7 @@
                 left += self.drop(entry.name)
                 tier = self.tiers.get(entry.kind, Tier.EDGE)
                 fits = entry.weight if self.settings.sized and tier is not Tier.ORIGIN else None
-                limit = FITS_START * fits if fits else LIMIT_START[tier]
+                limit = FITS_LEAST * fits if fits else LIMIT_START[tier]
                 self.servers[entry.name] = Server(entry, tier, now, fits=fits, limit=limit)
             else:
                 known.entry = entry
