--- a/tests/test_settings_given.py
+++ b/tests/test_settings_given.py
@@ -7,7 +7,6 @@
 
 from paddlequay.interface import AttemptEnded, Member, Note, Outcome, State
 
-
 ALLOWED = [("any", True), ("location", True), ("off", False), (None, False)]
 
 
