--- a/paddlequay/policy/answers.py
+++ b/paddlequay/policy/answers.py
@@ -79,9 +79,8 @@
                 self.know.origin_waits.heard(min(event.waited, event.latency), now)
         if event.note is Note.HIT and attempt.fills:
             source.bucket.take(-work)
-        # A late answer that did not wait for its fill says nothing of who filled it: one edge that bore
-        # all of its location was late, and the parents' limits were cut for it.
-        # Without a note any of both may be late, or the link; `Link` and what fits there bound the source.
+        # A late answer that did not wait for its fill, or does not tell, says nothing of who filled it: one
+        # edge that bore all of its location was late, and the parents' limits were cut for it.
         waited = event.note and (event.waited is None or event.waited > WAITED_SHARE * event.latency)
         late = self.know.latency.learn(item, event.latency)
         self.know.limits.pace(source if filled and waited else attempt.target, late, now)
--- a/paddlequay/policy/ladder.py
+++ b/paddlequay/policy/ladder.py
@@ -46,9 +46,8 @@
     def next_rung(self, item: Open, now: float) -> Rung | Cause:
         """The ladder: sibling, hashed parent, next parent, origin; then an old copy; then past the edges.
 
-        Only what fails or is missing is passed by this way. What is merely busy sheds its load: handed on, it
-        would reach the parents and the origin as client traffic and as second fills, and jam them as well.
-        """
+        What is merely busy sheds its load: handed on, it would reach the parents and the origin as client
+        traffic and as second fills, and jam them as well, but for what the link is known to have room for."""
         edge, edge_busy = self.pick_edge(item, now)
         cause: Cause = "edge_busy" if edge_busy else "no_edge" if edge is None else "no_source"
         shut = edge_busy and not self.know.link.spare(item.luck)
--- a/paddlequay/policy/limits.py
+++ b/paddlequay/policy/limits.py
@@ -34,8 +34,8 @@
         """Share limits among all routers, by how many edges fill from how many; `askers`: as told instead."""
         fills = FILL_SHARE * max(1, edges) / (self.settings.routers or 1)
         self.sharers[Tier.EDGE] = self.settings.routers_here or 1
-        askers_of_parents = askers or (self.settings.routers if self.settings.sized else None)
-        self.sharers[Tier.PARENT] = askers_of_parents or max(1, parents) / fills
+        everybody = self.settings.sized and self.settings.routers
+        self.sharers[Tier.PARENT] = askers or everybody or max(1, parents) / fills
         self.sharers[Tier.ORIGIN] = askers or max(1, origins) / fills
 
     def take(self, attempt: Attempt, cost: float) -> None:
--- a/tests/test_settings_drawn.py
+++ b/tests/test_settings_drawn.py
@@ -185,4 +185,4 @@
     while world.out:  # what is still out comes to an end at last, and all that is owed is answered
         world.now += 0.1
         world.end(min(world.out), Outcome.TIMEOUT, None, ())
-    assert not world.open
+    assert not world.open and world.router.know.link.out == 0
