--- a/paddlequay/interface.py
+++ b/paddlequay/interface.py
@@ -99,6 +99,7 @@
     joins: bool | None = None
     notes: bool | None = None
     flow_kb_per_s: float | None = None
+    link_kb_per_s: float | None = None  # the link into the router's zone
     weights: str | None = None
     parallel: bool | None = None
     can_cancel: bool | None = None
@@ -110,6 +111,11 @@
     cold_parent: Ramp = Ramp()
     purge_done: float | None = None
 
+    @property
+    def sized(self) -> bool:
+        """Whether weights tell members' ways out, in transfers at `flow_kb_per_s`."""
+        return self.weights in ("nominal", "rough") and bool(self.flow_kb_per_s)
+
 
 @dataclass(frozen=True, slots=True)
 class Member:
--- a/paddlequay/policy/ladder.py
+++ b/paddlequay/policy/ladder.py
@@ -3,7 +3,8 @@
 from collections.abc import Iterator
 from itertools import chain, islice
 
-from paddlequay.interface import Cause, Effect
+from paddlequay.fleet.link import dear
+from paddlequay.interface import Cause
 from paddlequay.placement.following import asked
 from paddlequay.placement.homes import digest, place
 from paddlequay.policy.beliefs import Beliefs
@@ -13,16 +14,6 @@
 Rung = tuple[Server, Server]  # target and source; the same one twice is a look at what it holds
 
 
-def same_group(item: Open, server: Server) -> bool:
-    """Whether the server drops repeats of what may have run already."""
-    ran = item.may_have_run
-    if ran is None or item.kind.effect is Effect.SAFE or item.kind.repeat_group == "all":
-        return True
-    if item.kind.repeat_group == "zone":
-        return server.entry.zone == ran.target.entry.zone
-    return server.entry.cell == ran.target.entry.cell
-
-
 class Ladder:
     """Reads what the parts believe; its own are `link_full` and `held_only` of a request."""
 
@@ -40,7 +31,7 @@
         origins = self.know.members.origins
         if self.know.settings.direct:
             for origin in origins:
-                if origin.entry.name not in item.failed and same_group(item, origin):
+                if origin.entry.name not in item.failed and item.same_group(origin):
                     return origin, origin
         if item.unfillable:
             return None
@@ -55,12 +46,12 @@
     def next_rung(self, item: Open, now: float) -> Rung | Cause:
         """The ladder: sibling, hashed parent, next parent, origin; then an old copy; then past the edges.
 
-        Only what fails or is missing is passed by this way. What is merely busy sheds its load: handed on, it
-        would reach the parents and the origin as client traffic and as second fills, and jam them as well.
-        """
+        What is merely busy sheds its load: handed on, it would reach the parents and the origin as client
+        traffic and as second fills, and jam them as well, but for what the link is known to have room for."""
         edge, edge_busy = self.pick_edge(item, now)
         cause: Cause = "edge_busy" if edge_busy else "no_edge" if edge is None else "no_source"
-        if edge is None and (edge_busy or not self.know.settings.direct):
+        shut = edge_busy and not self.know.link.spare(item.luck)
+        if edge is None and (shut or not self.know.settings.direct):
             return cause
         source = None if item.unfillable else self.pick_source(item, edge, now)
         cause = "link_full" if item.link_full else cause
@@ -76,12 +67,14 @@
 
     def dear(self, item: Open) -> float:
         """The bytes of a request's class for its worth, beside the class kept that has most, in (0, 1]."""
-        if not (self.know.room.crowd and item.cacheable):
+        if not (item.cacheable and (self.know.room.crowd or self.know.link.fits)):
             return 1.0  # nothing is shed by it, and there may be no class that is kept
-        work = self.know.latency.work
-        kept = (kind for kind in self.know.settings.classes if not kind.uncacheable)
-        most = max(work[kind.name] / (kind.worth or 1.0) for kind in kept)
-        return work[item.kind.name] / (item.kind.worth or 1.0) / most
+        return dear(item.kind, self.know.settings.classes, self.know.latency.work)
+
+    def draws(self, item: Open, now: float, kept: bool = True) -> bool:
+        """Whether it may fill through the zone's link, by reports on that and by what is out there."""
+        luck, dear = item.luck, self.dear(item)
+        return self.know.room.fills(luck, now, dear, kept) and self.know.link.fills(luck, dear, kept)
 
     def ranked(self, tier: Tier, key: int, now: float) -> Iterator[Server]:
         """The homes of a key in order, by size where weights mean that, and by what a cold member can give.
@@ -97,7 +90,7 @@
     def pick_edge(self, item: Open, now: float) -> tuple[Server | None, bool]:
         """The hash of object and part, over two above a rate, the next where it fails; and was one busy?"""
         ranked = self.ranked(Tier.EDGE, asked(item.request), now)
-        fit = (e for e in ranked if same_group(item, e) and e.entry.name not in item.failed)
+        fit = (e for e in ranked if item.same_group(e) and e.entry.name not in item.failed)
         first = sorted(islice(fit, 2), key=lambda e: e.out) if item.seen.reads > SPREAD_READS else []
         busy = None
         for edge in chain(first, fit):
@@ -105,7 +98,7 @@
                 if not self.know.limits.busy(edge, item, now):
                     return edge, busy is not None
                 busy = busy or edge
-                if not self.know.room.fills(item.luck, now, self.dear(item)):
+                if not self.draws(item, now):
                     break  # the next one would have to fill it through a link that is full
         if busy is not None and self.know.room.bears(busy.entry.name, item.luck, now):
             return busy, False
@@ -120,7 +113,8 @@
             for sibling in [servers[name] for name in held if name not in item.failed]:
                 if sibling.ready and not sibling.skipped and self.know.members.share(sibling, now) >= 1.0:
                     return sibling
-        if fills and not self.know.room.fills(item.luck, now, self.dear(item), kept=edge is not None):
+        # Where no note tells, nothing proves what is held: at a full link its home is asked for that first.
+        if (fills or not self.know.settings.notes) and not self.draws(item, now, kept=edge is not None):
             item.link_full = True  # what the home holds may still do
             return None
         shed = False
--- a/paddlequay/policy/limits.py
+++ b/paddlequay/policy/limits.py
@@ -3,6 +3,7 @@
 import math
 from collections.abc import Iterable, Mapping
 
+from paddlequay.fleet.link import Link
 from paddlequay.fleet.room import Room
 from paddlequay.interface import Settings
 from paddlequay.records import Attempt, Open, Server, Tier
@@ -10,6 +11,7 @@
 LIMIT_LEAST, LIMIT_MOST = 2.0, 1000.0  # out at a member by all routers, in mean requests
 # What an edge can bear, its first report tells within a second; parents, asked by edges, report to no router.
 LIMIT_START = {Tier.EDGE: 10.0, Tier.PARENT: 30.0, Tier.ORIGIN: 30.0}
+FITS_LEAST = 1.5  # of the transfers that fit a way out, where told: aims allow twice the sending time
 FILL_SHARE = 0.33  # of the work at edges that is filled, where notes do not tell; parents' limits use it too
 LIMIT_CHANCE = 1.5  # roots of its share that a router may be above it: few requests come unevenly
 LIMIT_FIND = 0.2  # growth a second of a parent's limit until its first jam: nothing else finds it
@@ -24,15 +26,16 @@
 class Limits:
     """What is out at members, its limits, and how many routers' worth of sending meets at each."""
 
-    def __init__(self, settings: Settings, room: Room) -> None:
-        self.settings, self.room = settings, room
+    def __init__(self, settings: Settings, room: Room, link: Link) -> None:
+        self.settings, self.room, self.link = settings, room, link
         self.sharers: dict[Tier, float] = {}
 
     def spread(self, edges: int, parents: int, origins: int, askers: int | None = None) -> None:
         """Share limits among all routers, by how many edges fill from how many; `askers`: as told instead."""
         fills = FILL_SHARE * max(1, edges) / (self.settings.routers or 1)
         self.sharers[Tier.EDGE] = self.settings.routers_here or 1
-        self.sharers[Tier.PARENT] = askers or max(1, parents) / fills
+        everybody = self.settings.sized and self.settings.routers
+        self.sharers[Tier.PARENT] = askers or everybody or max(1, parents) / fills
         self.sharers[Tier.ORIGIN] = askers or max(1, origins) / fills
 
     def take(self, attempt: Attempt, cost: float) -> None:
@@ -40,12 +43,14 @@
         attempt.target.out += cost
         if attempt.fills:
             attempt.source.out += cost
+            self.link.out += attempt.source.tier is not Tier.EDGE
 
     def release(self, attempt: Attempt, cost: float) -> None:
         """Free what an attempt held."""
         attempt.target.out = max(0.0, attempt.target.out - cost)
         if attempt.fills:
             attempt.source.out = max(0.0, attempt.source.out - cost)
+            self.link.out -= attempt.source.tier is not Tier.EDGE
 
     def busy(self, server: Server, item: Open, now: float) -> bool:
         """Whether its limit is reached: large transfers reach it first, and a share under one sheds some."""
@@ -74,12 +79,13 @@
         out = server.out * self.sharers[server.tier]
         if server.late <= LATE_SHARE:
             if out > server.limit / 2:
-                finding = server.cut_at == -math.inf and server.tier is not Tier.EDGE
+                finding = server.cut_at == -math.inf and server.tier is not Tier.EDGE and not server.fits
                 growth = LIMIT_FIND if finding else LIMIT_GROWTH
                 server.limit = min(LIMIT_MOST, server.limit * math.exp(growth * min(since, 1.0)))
         elif late and now - server.cut_at >= LIMIT_PAUSE_S:
             server.cut_at = now
-            server.limit = max(LIMIT_LEAST, min(server.limit, out + 1.0) * LIMIT_CUT)
+            least = max(LIMIT_LEAST, FITS_LEAST * (server.fits or 0.0))
+            server.limit = max(least, min(server.limit, out + 1.0) * LIMIT_CUT)
 
     def inherit(self, servers: Iterable[Server], told: Mapping[str, float]) -> None:
         """A limit cut below the first one is not taken over: it regains slowly, a start finds anew."""
