Carry the fleet's word on the simulator's wire, where an installation sets a cluster

A share of its own for each instance, with alarms for time; without PADDLEQUAY_CLUSTER the adapter does as before. Tests: a parent that two instances find dead is tried out once by a third, nothing is posted where peers are not allowed, broken content has no effect.

--- a/paddlequay/adapter.py
+++ b/paddlequay/adapter.py
@@ -1,10 +1,12 @@
 """The simulator's wire on standard input and output; hosts many routers. It decides nothing."""
 
 import json
+import os
 import re
 import sys
 from collections.abc import Callable
-from typing import Any, TextIO, TypeVar
+from pathlib import Path
+from typing import TYPE_CHECKING, Any, TextIO, TypeVar
 
 from paddlequay.interface import (
     Action,
@@ -32,7 +34,11 @@
 from paddlequay.policy import Router
 from paddlequay.settings import SettingsError, settings_from
 
+if TYPE_CHECKING:
+    from paddlequay.simshare import SimShare
+
 T = TypeVar("T")
+CLUSTER = "cluster"  # the nonce of a cluster's alarms
 STATES = {"IN": State.READY, "LAME": State.DRAINING, "OUT": State.GONE}
 OUTCOMES = {
     "served": Outcome.SERVED,
@@ -229,10 +235,12 @@
 
 
 class Host:
-    """All routers of one process; they share nothing."""
+    """All routers of one process; they share nothing but what goes by the wire, where `share` makes such."""
 
-    def __init__(self) -> None:
+    def __init__(self, share: "Callable[[Fields, Router, float], SimShare | None] | None" = None) -> None:
         self.routers: dict[str, Router | None] = {}
+        self.share = share
+        self.shares: dict[str, SimShare] = {}
 
     def batch(self, lines: list[str]) -> list[str]:
         """The reply to one batch, its closing line left off."""
@@ -265,11 +273,19 @@
         """One event to its router."""
         router = str(fields.need("router", int))
         if fields.name == "provision":
-            self.routers[router] = Router(fields.need("settings", read_settings), fields.need("salt", int))
-            return []
+            made = Router(fields.need("settings", read_settings), fields.need("salt", int))
+            self.routers[router] = made
+            shared = self.share(fields, made, now) if self.share is not None else None
+            if shared is None:
+                return []
+            self.shares[router] = shared
+            return sent(router, shared, now)
         if fields.name == "kill":
             self.routers[router] = None
+            self.shares.pop(router, None)
             return []
+        if router in self.shares:
+            return self.shared(router, self.shares[router], fields, entries, now)
         event = read_event(fields, entries)
         if event is None:
             return []
@@ -279,9 +295,64 @@
         return [] if instance is None else [write_action(router, act) for act in instance.handle(event, now)]
 
 
+    def shared(
+        self, router: str, share: "SimShare", fields: Fields, entries: list[Member], now: float
+    ) -> list[str]:
+        """One event to a router that has a share in a cluster, and what the cluster makes of it."""
+        instance = self.routers[router]
+        assert instance is not None
+        events: list[Event] = []
+        if fields.name == "note_from":
+            events += share.note_from(fields.need("srcPeer", int), fields.need("content", str), now)
+        elif fields.name == "alarm" and fields.need("nonce", str) == CLUSTER:
+            events += share.tick(now)
+        else:
+            event = read_event(fields, entries)
+            if event is not None:
+                events.append(event)
+        reply: list[str] = []
+        for event in events:
+            actions = instance.handle(event, now)
+            share.acted(actions)
+            reply += [write_action(router, act) for act in actions]
+            if isinstance(event, AttemptEnded):
+                events += share.ended(event, now)
+            for act in actions:
+                if isinstance(act, Refuse | Fail):
+                    share.over(act.request)
+            if isinstance(event, ClientGone):
+                share.over(event.request)
+        return reply + sent(router, share, now)
+
+
+def sent(router: str, share: "SimShare", now: float) -> list[str]:
+    """What a cluster sends, and its next alarm."""
+    reply = [f"post\trouter={router}\tpeer={post.peer}\tcontent={post.content}" for post in share.posts(now)]
+    wait = share.alarm(now)
+    return reply if wait is None else [*reply, write_action(router, SetTimer(wait, CLUSTER))]
+
+
+def sharing(path: str) -> "Callable[[Fields, Router, float], SimShare | None]":
+    """Makes an instance's share in a cluster by a file of settings, where the platform's allow peers."""
+    from paddlequay.schema.cluster import read_cluster
+    from paddlequay.simshare import SimShare
+
+    settings = read_cluster(Path(path))
+
+    def share(fields: Fields, router: Router, now: float) -> SimShare | None:
+        told = json.loads(fields.need("settings", str))
+        if told.get("limits", {}).get("peers") is not True:
+            return None
+        me, size, salt = int(told["me"]), int(told["groupSize"]), fields.need("salt", int)
+        return SimShare(settings, me, size, router, salt, now)
+
+    return share
+
+
 def main(source: TextIO = sys.stdin, sink: TextIO = sys.stdout) -> int:
     """Answer batches until the input ends; 1 after malformed input."""
-    host = Host()
+    path = os.environ.get("PADDLEQUAY_CLUSTER")
+    host = Host(sharing(path) if path else None)
     lines: list[str] = []
     for raw in source:
         line = raw.rstrip("\r\n")
--- /dev/null
+++ b/tests/cluster/test_simshare.py
@@ -0,0 +1,115 @@
+"""The cluster on the simulator's wire: words that go round between instances, by posts and alarms."""
+
+import json
+from pathlib import Path
+
+import pytest
+
+from paddlequay import adapter
+
+SETTINGS = {
+    "locality": "here",
+    "localities": ["here", "hub"],
+    "kinds": ["box", "parent", "origin"],
+    "groupSize": 3,
+    "classes": [{"name": "photo", "aim": 0.5, "deadline": 2, "idempotency": "read_like", "window": 5}],
+    "limits": {"attemptsCap": 6, "peers": True},
+    "rules": {},
+    "extra": {"parentKind": 1, "rootKind": 2, "goesThrough": [False], "bypassAllowed": True, "detail": "all"},
+}
+ENTRIES = [
+    "entry\tcache=1:1\trackZone=here\tshape=box\tstatus=IN",
+    "entry\tcache=2:1\trackZone=hub\tshape=parent\tstatus=IN",
+    "entry\tcache=2:2\trackZone=hub\tshape=parent\tstatus=IN",
+    "entry\tcache=3:1\trackZone=hub\tshape=origin\tstatus=IN",
+]
+
+
+class World:
+    """Instances in one adapter; the clock and the posts between them are the simulator's."""
+
+    def __init__(self, folder: Path, peers: bool = True) -> None:
+        file = folder / "cluster.txtpb"
+        file.write_text('cluster { name: "here" verdicts: true }')
+        self.host = adapter.Host(adapter.sharing(str(file)))
+        self.now, self.posts, self.tries = 1.0, 0, 0
+        self.alarms: list[tuple[float, str, str]] = []
+        self.sent: list[tuple[str, str, str]] = []  # instance, request, source
+        for number in range(3):
+            limits = SETTINGS["limits"] | {"peers": peers}  # type: ignore[operator]
+            told = json.dumps(SETTINGS | {"me": number, "limits": limits})
+            self.batch(f"provision\trouter={number}\tsalt={number}\tsettings={told}")
+            self.batch(f"update\trouter={number}\tmode=restored\tstamp=1\tmembersList=4", *ENTRIES)
+
+    def batch(self, *lines: str) -> None:
+        waiting = [list(lines)]
+        while waiting:
+            for line in self.host.batch([f"tick\tts={self.now:.6f}", *waiting.pop(0)]):
+                told = adapter.Fields(line)
+                router = told.need("router", str)
+                if told.name == "post":
+                    self.posts += 1
+                    peer = told.need("peer", str)
+                    for to in range(3) if peer == "*" else [int(peer)]:
+                        if str(to) != router:
+                            content = told.need("content", str)
+                            waiting.append([f"note_from\trouter={to}\tsrcPeer={router}\tcontent={content}"])
+                elif told.name == "wake_at":
+                    due = self.now + told.need("offset", float)
+                    self.alarms.append((due, router, told.need("nonce", str)))
+                elif told.name == "obtain":
+                    self.sent.append((router, told.need("rid", str), told.need("feeder", str)))
+
+    def pass_time(self, seconds: float) -> None:
+        end = self.now + seconds
+        while self.alarms and min(self.alarms)[0] <= end:
+            due = min(self.alarms)
+            self.alarms.remove(due)
+            self.now = max(self.now, due[0])
+            self.batch(f"alarm\trouter={due[1]}\tnonce={due[2]}")
+        self.now = end
+
+    def ask(self, router: int, item: int) -> str:
+        """A request's source; what follows is up to the caller."""
+        self.tries += 1
+        self.batch(f"query\trouter={router}\trid=r{self.tries}\tgrade=photo\titem={item}\ttimeBudget=2")
+        return self.sent[-1][2]
+
+    def ended(self, router: int, result: str, note: int) -> None:
+        told = f"returned\trouter={router}\trid=r{self.tries}\ttry=0\tcache=1:1\tresult={result}\tinfo={note}"
+        self.batch(f"{told}\tdelaySeen=0.1" + ("\tlast=1" if result == "served" else ""))
+
+
+def test_a_parent_that_two_instances_find_dead_is_tried_out_by_a_third_at_once(tmp_path: Path) -> None:
+    world = World(tmp_path)
+    items = []
+    for item in range(40):
+        if world.ask(2, item) == "2:1":
+            items.append(item)
+        world.ended(2, "served", 2)
+    world.pass_time(2.5)  # what has served lately is believed more than the fleet
+    for _ in range(3):
+        for router in (0, 1):
+            for item in range(12):  # the other parent serves them: it is not these that are cut off
+                dead = world.ask(router, item) == "2:1"
+                world.ended(router, "turned_away" if dead else "served", 7 if dead else 2)
+        world.pass_time(0.1)
+    assert world.posts > 0
+    # The third has had no failure itself: one request tries it out, the next ones go elsewhere.
+    first, *rest = [world.ask(2, item) for item in items[1:6]]
+    assert first == "2:1" and set(rest) == {"2:2"}
+
+
+def test_where_peers_are_not_allowed_nothing_is_posted_and_no_alarm_set(tmp_path: Path) -> None:
+    world = World(tmp_path, peers=False)
+    world.ask(0, 1)
+    assert world.posts == 0 and world.alarms == [] and world.host.shares == {}
+
+
+def test_broken_content_has_no_effect(tmp_path: Path) -> None:
+    world = World(tmp_path)
+    for content in ("-", "AAAA", "!!!!", "A" * 4000):
+        world.batch(f"note_from\trouter=0\tsrcPeer=1\tcontent={content}")
+    assert sum(world.host.shares["0"].wire.refused.values()) == 4
+    with pytest.raises(adapter.WireError):
+        world.batch("note_from\trouter=0\tcontent=AAAA")
