--- a/paddlequay/cluster/granter.py
+++ b/paddlequay/cluster/granter.py
@@ -15,7 +15,7 @@
 from paddlequay.cluster.notes import Grant, Need
 from paddlequay.cluster.settings import Mode
 from paddlequay.cluster.share import NOTHING, Share, Whole, divide, divide_burst
-from paddlequay.cluster.types import Bounds, Name, Peer
+from paddlequay.cluster.types import NEVER, Bounds, Name, Peer
 
 Holds = Callable[[Name, float], int | None]  # the term of a lease that this router holds at this moment
 
@@ -49,14 +49,21 @@
 class Out:
     """What one process of a router may have, for all that the holder knows."""
 
-    grants: list[tuple[float, Share]] = field(default_factory=list)
+    grants: list[tuple[float, Share]] = field(default_factory=list)  # never changed in place
+    known: list[tuple[float, Share]] | None = None  # those of which `largest` is, until the first ends
+    largest: Share = NOTHING
+    ends: float = 0.0
 
     def most(self, now: float) -> Share:
-        """The largest of those that live."""
+        """The largest of those that live. Asked for each router at each Need, so it is kept."""
+        if self.grants is self.known and now < self.ends:
+            return self.largest
         self.grants = [each for each in self.grants if each[0] > now]
         share = NOTHING
         for _, each in self.grants:
             share = share.most(each)
+        self.known, self.largest = self.grants, share
+        self.ends = min((until for until, _ in self.grants), default=NEVER)
         return share
 
     def add(self, share: Share, until: float) -> None:
@@ -136,14 +143,16 @@
 
     def others(self, book: Book, sender: Peer, incarnation: int, now: float) -> Share:
         """What is out, but to this process itself: a former process of the same router counts too."""
-        share = NOTHING
-        for key in list(book.out):
-            most = book.out[key].most(now)
-            if not book.out[key].grants:
+        milli = burst = 0
+        own = (sender, incarnation)
+        for key, out in list(book.out.items()):
+            most = out.most(now)
+            if not out.grants:
                 del book.out[key]
-            elif key != (sender, incarnation):
-                share = share.plus(most)
-        return share
+            elif key != own:
+                milli += most.milli
+                burst += most.burst
+        return Share(milli, burst)
 
     def noted(self, book: Book, kept: Kept, sender: Peer, incarnation: int, note: Need, now: float) -> bool:
         """Write down what a router needs; False for a Need that is no newer than the last."""
