--- /dev/null
+++ b/tests/test_standing.py
@@ -0,0 +1,132 @@
+"""What the operators' standing page asks of the real program at its edges: the end, the list, and silence."""
+
+import contextlib
+import copy
+import json
+import select
+import socket
+import time
+from collections.abc import Iterator
+
+import pytest
+from harness import SETTINGS, WAIT, Platform, platform, until
+
+TOLD_AT_LATEST = 7.0  # the page: what the bulletin has to tell counts as told so long after
+
+
+@pytest.fixture
+def p() -> Iterator[Platform]:
+    with platform() as made:
+        yield made
+
+
+def test_requests_on_open_connections_are_served_for_as_long_as_they_come_after_sigterm(p: Platform) -> None:
+    """Connections keep coming for up to 0.4 s after SIGTERM, and requests on open ones for 0.2 s more."""
+    clients = [p.client(), p.client()]
+    clients[0].ask()
+    p.box.answer("HIT", "-", b"before")
+    assert clients[0].answer()[3][0] == b"before"
+    p.process.terminate()
+    began, served = time.monotonic(), 0
+    while time.monotonic() - began < 0.6:
+        for client in clients:
+            client.ask(row=f"{served:016x}")
+            p.box.answer("HIT", "-", b"after")
+            assert client.answer()[3][0] == b"after"
+            served += 1
+        time.sleep(0.02)
+    clients[1].ask(row="00000000000000ff")
+    connection, words = p.box.line()
+    time.sleep(0.6)  # past the time in which requests come: what was taken is owed its answer all the same
+    connection.sendall(f"{words[1]} HIT - 4\r\nlast\r\n".encode())
+    assert clients[1].answer()[3][0] == b"last" and served > 2
+    assert all(client.answer() is None for client in clients)
+    assert p.process.wait(timeout=WAIT) == 0
+
+
+@pytest.mark.parametrize("silent", [0, 1])
+def test_a_drain_written_to_a_silent_bulletin_is_had_before_it_counts_as_told(
+    p: Platform, silent: int
+) -> None:
+    """The list's word may stand unread behind a connection that fell silent, and behind the one made anew."""
+    client = p.client()
+    client.ask()
+    p.box.answer("HIT", "-", b"x")
+    assert client.answer()[3][0] == b"x"
+    p.publish({"no": 1})
+    out_at = time.monotonic()  # the drain is in the bulletin from here on, and nothing comes of it
+    for _ in range(silent):
+        p.bulletin.accepted.get(timeout=WAIT)
+        assert p.bulletin.line()[1] == ["after", "1"]
+    drained = p.entry("box-1", p.box, lifecycle="terminating")
+    event = {"no": 2, "roster": {"reset": False, "instances": [drained, p.entry("box-2", p.parent)]}}
+    p.publish(event, {"no": 2})
+    until(lambda: p.counted("rosters") == 2, "the drain is taken in")
+    assert time.monotonic() - out_at < TOLD_AT_LATEST
+    client.ask(row="00000000000000aa")
+    p.parent.answer("HIT", "-", b"y")
+    assert client.answer()[3][0] == b"y" and p.box.lines.empty()
+
+
+@contextlib.contextmanager
+def full_listener() -> Iterator[socket.socket]:
+    """A listener whose queue is full: who connects comes up at a repeated try, 1 s later."""
+    with contextlib.ExitStack() as stack:
+        listener = stack.enter_context(socket.socket())
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(0)
+        while True:
+            filler = stack.enter_context(socket.socket())
+            filler.setblocking(False)
+            filler.connect_ex(listener.getsockname())
+            if not select.select([], [filler], [], 0.1)[1]:
+                break
+        yield listener
+
+
+def test_a_drain_stops_what_waits_for_its_connection_to_come_up() -> None:
+    """join+mass: connections come up as late as 1 s, and sends to what drains must end within 0.5 s."""
+    settings = copy.deepcopy(SETTINGS)
+    settings["limits"]["dialTimeout"] = 4.0
+    settings["classes"][0] |= {"aim": 2.0, "deadline": 6}  # its time-out is past the connection
+    with full_listener() as listener, platform(settings=settings) as p:
+        host, port = listener.getsockname()
+        late = p.entry("box-2", p.box, hostPort=f"{host}:{port}")
+        client = p.client()
+        away = {"reset": False, "instances": [p.entry("box-1", p.box, lifecycle="terminating"), late]}
+        bulletin = p.publish({"no": 2, "roster": away})
+        until(lambda: p.counted("rosters") == 2, "box-2 alone is in service")
+        client.ask(ttl="5000")
+        until(lambda: p.counted("requests") == 1, "it waits for its connection")
+        back = {"reset": False, "instances": [p.entry("box-1", p.box), late | {"lifecycle": "terminating"}]}
+        bulletin.sendall(json.dumps({"no": 3, "roster": back}).encode() + b"\n")
+        until(lambda: p.counted("rosters") == 3, "box-2 drains")
+        listener.setblocking(False)
+        came = []
+        end = time.monotonic() + WAIT
+        while not p.box.lines.qsize() and time.monotonic() < end:
+            with contextlib.suppress(BlockingIOError):
+                came.append(listener.accept()[0])  # the router's try is among those that filled the queue
+            time.sleep(0.01)
+        p.box.answer("HIT", "-", b"x")
+        assert client.answer()[3][0] == b"x"
+        assert p.counted("not_sent") == 1
+        for connection in came:
+            connection.setblocking(False)
+            with contextlib.suppress(BlockingIOError, ConnectionError):
+                assert connection.recv(1) == b""
+            connection.close()
+
+
+def test_a_time_out_that_its_client_had_set_does_not_pass_for_a_silent_connection(p: Platform) -> None:
+    """join+mass: clients that gave 0.1 to 0.5 s got connections given up, and each cost a handshake."""
+    client = p.client()
+    client.ask(ttl="150")
+    first, asked = p.box.line()
+    assert client.answer()[2][0] == "TryLater"
+    _, (given_up, *_) = p.box.line()
+    assert given_up != asked[0]
+    client.ask(row="00000000000000aa")
+    second, words = p.box.line()
+    second.sendall(f"{words[1]} HIT - 1\r\nx\r\n".encode())
+    assert client.answer()[3][0] == b"x" and second is first
