--- a/paddlequay/net/sharing.py
+++ b/paddlequay/net/sharing.py
@@ -23,7 +23,7 @@
 from paddlequay.config import Config, Peering
 from paddlequay.counters import Counters
 from paddlequay.exchange import Exchange
-from paddlequay.interface import FleetWord, Note
+from paddlequay.interface import FleetWord, Note, Outcome
 from paddlequay.net.leaves import Leaves
 from paddlequay.net.peers import Peers
 from paddlequay.placement.homes import digest
@@ -187,6 +187,9 @@
         self.leaves.ended(attempt)
         if self.node is None or self.node.verdicts is None or attempt.written is None:
             return
+        kind = self.exchange.router.kinds[attempt.owner.ask.class_name]
+        if end.outcome is Outcome.TIMEOUT and attempt.expires - attempt.began < kind.aim:
+            return  # its client gave it less time than an answer may take
         verdicts = self.node.verdicts
         origins = self.exchange.router.know.members.origins
         origin = origins[0].entry.name if origins else None
--- a/paddlequay/policy/answers.py
+++ b/paddlequay/policy/answers.py
@@ -35,17 +35,18 @@
             return self.know.health.succeed(target, now)
         item.lost = event.outcome is Outcome.RESET
         blamed = self.blame(attempt, event)
+        item.failed.append(blamed.entry.name)
+        if event.outcome is Outcome.TIMEOUT and item.deadline - attempt.sent < self.know.latency.aim(item):
+            return []  # its client gave it less time than answers take: no word on whoever was asked
         plain = event.outcome is Outcome.ERROR and event.note is None
         item.errors += plain
-        item.failed.append(blamed.entry.name)
         cut_off = event.note is Note.ORIGIN_FAILED
         # Another parent would have to ask the same origin: what is held may still do.
         item.lacking = item.lacking or cut_off
         if event.silent:
-            # The connection brought nothing for anybody: no word on the source, nor on anybody's load.
-            return self.know.health.fail(blamed, True, now)
+            return self.know.health.fail(blamed, True, now)  # nothing for anybody: no word on source or load
         if event.outcome is Outcome.TIMEOUT and attempt.fills and self.know.room.well(target.entry.name, now):
-            self.know.origin_waits.heard(event.latency, now)
+            self.know.origin_waits.given_up(event.latency, now)
         if event.outcome in (Outcome.TIMEOUT, Outcome.REFUSED):
             self.know.limits.pace(blamed, True, now)
         away = cut_off or event.note is Note.SOURCE_UNREACHED
