Keep leaves by the request: renewed when refused, idle or held too long, shut without a share

Seen on a reading with probes of the real classes: a refused renewal let the next attempt through with no leave; a leave whose attempt was proven idle was written on seconds later; a renewal asked for the attempt's time, not the request's, so that a place was free while its request went on; without a share, strict limits of members and sources did not hold; a rule for each member counted their kind as one; the timer between routers was put off by every event of a full loop; a router whose newer process died never took its share back.

--- a/paddlequay/__main__.py
+++ b/paddlequay/__main__.py
@@ -156,7 +156,7 @@
         """Beside a newer process that takes clients: keep what there is, and have it become less."""
         self.front.giving_way = True
         if self.sharing is not None:
-            self.sharing.stop()
+            self.sharing.give_way()
         self.twin.give(Held(len(self.front.sessions), len(self.pool.held())))
 
     def make_way(self) -> None:
@@ -170,6 +170,8 @@
         died: who connects here until the next beat would be closed on."""
         self.front.giving_way = self.front.closing or self.twin.replaced
         self.front.empty()
+        if self.sharing is not None and not self.twin.replaced:
+            self.sharing.come_back()
 
     async def sweeping(self) -> None:
         """What is looked at now and then rather than at an event."""
--- a/paddlequay/net/leaves.py
+++ b/paddlequay/net/leaves.py
@@ -6,22 +6,28 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
-from paddlequay.asks import Ask, Attempt, Open
+from paddlequay.asks import Ask, Attempt, End, Open
 from paddlequay.cluster.limits import Limits, Ticket
 from paddlequay.cluster.settings import By, ClusterSettings, Mode
 from paddlequay.counters import Counters
 from paddlequay.exchange import Exchange
-from paddlequay.interface import Member, Note
+from paddlequay.interface import Member, Note, Outcome
 
 OUT_PAUSE = 0.3  # told a client whose request falls under a strict limit while this process has no share
 LEAVE_S = 0.1  # a leave that was not written on for so long is asked for anew
+IDLE = (Outcome.REFUSED, Outcome.UNREACHED, Outcome.NOT_SENT, Outcome.MISS)  # nothing ran
+
+What = list[tuple[By, str]]
 
 
 @dataclass(slots=True)
 class Leave:
-    """What a request was let through by, when, and whether it was written since."""
+    """What a request was let through by, and when; None: it was refused one since, and has to ask again.
+
+    `used`: an attempt was written on it, and may have run.
+    """
 
-    ticket: Ticket
+    ticket: Ticket | None
     at: float
     used: bool = False
 
@@ -36,13 +42,23 @@
         self.limits: Limits | None = None
         self.requests: dict[str, Leave] = {}  # by serial
         self.writes: dict[str, list[tuple[Attempt, Ticket]]] = {}  # the same, for what is out
-        self.matches = {rule.match for rule in settings.limits}
+        self.named = {by: {rule.match for rule in settings.limits if rule.by is by} - {"*"} for by in By}
+
+    def joined(self, limits: Limits | None) -> None:
+        """Another life in the cluster, or none: leaves of the one before are nothing to it."""
+        self.limits = limits
+        self.writes.clear()
+        for leave in self.requests.values():
+            leave.ticket = None
 
     def asked(self, item: Open, left: float) -> float | None:
         """A request is about to be taken in: None, or the seconds for which the client is to stay away."""
+        under = self.under(item.ask)
         if self.limits is None:
-            return OUT_PAUSE if self.shut(item.ask) else None
-        answer = self.limits.admit_all(self.under(item.ask), self.clock(), left)
+            if self.strict(under):
+                return OUT_PAUSE
+            return None
+        answer = self.limits.admit_all(under, self.clock(), left)
         if isinstance(answer, Ticket):
             if answer.limits:
                 self.requests[item.serial] = Leave(answer, self.clock())
@@ -52,83 +68,92 @@
         return answer.retry_in
 
     @staticmethod
-    def under(ask: Ask) -> list[tuple[By, str]]:
+    def under(ask: Ask) -> What:
         """What a request falls under."""
-        under: list[tuple[By, str]] = [(By.CLASS, ask.class_name)]
+        under: What = [(By.CLASS, ask.class_name)]
         if ask.group is not None:
             under.append((By.GROUP, str(ask.group)))
         if ask.tenant is not None:
             under.append((By.TENANT, ask.tenant))
         return under
 
-    def renewed(self, attempt: Attempt, left: float) -> bool:
-        """Whether the request's leave still stands for its first write.
-
-        One that was given longer ago than `LEAVE_S` has to be given anew: a process that was stopped between,
-        or waited for a connection, may not act on what it held.
-        """
-        leave, now = self.requests.get(attempt.owner.serial), self.clock()
-        if leave is None or leave.used or self.limits is None:
-            return True
-        leave.used = True
-        if now - leave.at <= LEAVE_S:
-            return True
-        self.give_back(leave.ticket)
-        del self.requests[attempt.owner.serial]
-        answer = self.limits.admit_all(self.under(attempt.owner.ask), now, left)
-        if not isinstance(answer, Ticket):
-            return False
-        self.requests[attempt.owner.serial] = Leave(answer, now, used=True)
-        return True
-
-    def shut(self, ask: Ask) -> bool:
-        """Whether it falls under a strict limit, of which an earlier process may still use the share."""
-        told = {By.CLASS: ask.class_name, By.TENANT: ask.tenant, By.GROUP: str(ask.group)}
+    def strict(self, under: What) -> bool:
+        """Whether a strict limit is among these, of which another process may still use the share."""
         return any(
-            rule.mode is Mode.STRICT and told.get(rule.by) is not None and rule.match in ("*", told[rule.by])
+            rule.mode is Mode.STRICT and rule.by is by and rule.match in ("*", value)
             for rule in self.settings.limits
+            for by, value in under
         )
 
+    def renewed(self, attempt: Attempt) -> bool:
+        """Whether the request's leave still stands for a write.
+
+        One that was given longer ago than `LEAVE_S`, and on which nothing may have run, has to be given anew:
+        a process that was stopped between, or waited for a connection, may not act on what it held.
+        """
+        item, now = attempt.owner, self.clock()
+        leave = self.requests.get(item.serial)
+        if leave is None or leave.used or (leave.ticket is not None and now - leave.at <= LEAVE_S):
+            return True
+        if self.limits is None:
+            return not self.strict(self.under(item.ask))
+        if leave.ticket is not None:
+            self.limits.done(leave.ticket, now)
+        # For all that is left of the request, not of the attempt: it may go on after that.
+        answer = self.limits.admit_all(self.under(item.ask), now, item.deadline - now)
+        leave.ticket, leave.at = (answer if isinstance(answer, Ticket) else None), now
+        return leave.ticket is not None
+
     def writing(self, attempt: Attempt, left: float) -> Note | None:
         """An attempt is about to be written: None, or the note under which it counts as refused."""
-        if self.limits is None:
-            return None
-        if not self.renewed(attempt, left):
+        if not self.renewed(attempt):
             self.counters.add("limit.too_late")
             return Note.FILLS_FULL
-        fetch, members = attempt.fetch, self.exchange.members
-        under = [*self.of(By.MEMBER, members.get(fetch.target))]
-        if fetch.source != fetch.target:
-            under += self.of(By.SOURCE, members.get(fetch.source))
+        fetch = attempt.fetch
+        fills = fetch.source != fetch.target
+        under = list(self.of(By.MEMBER, fetch.target))
+        if fills:
+            under += self.of(By.SOURCE, fetch.source)
         elif fetch.target not in self.exchange.router.names_of_edges():
-            under = [*self.of(By.SOURCE, members.get(fetch.target))]  # asked past the caches
+            under = list(self.of(By.SOURCE, fetch.target))  # asked past the caches
+        refused = Note.SOURCE_REFUSED if fills else Note.FILLS_FULL
+        if self.limits is None:
+            return refused if self.strict(under) else None
         answer = self.limits.admit_all(under, self.clock(), left)
         if not isinstance(answer, Ticket):
             self.counters.add(f"limit.refused.{answer.rule}")
-            return Note.SOURCE_REFUSED if fetch.source != fetch.target else Note.FILLS_FULL
+            return refused
         if answer.limits:
             self.writes.setdefault(attempt.owner.serial, []).append((attempt, answer))
+        leave = self.requests.get(attempt.owner.serial)
+        if leave is not None:
+            leave.used = True
         return None
 
-    def of(self, by: By, member: Member | None) -> Iterable[tuple[By, str]]:
+    def of(self, by: By, name: str) -> Iterable[tuple[By, str]]:
         """A member falls under the limits of its name, and of its kind where one is set for that."""
+        member: Member | None = self.exchange.members.get(name)
         if member is not None:
             yield by, member.name
-            if member.kind is not None and member.kind in self.matches:
+            if member.kind is not None and member.kind in self.named[by]:
                 yield by, member.kind
 
-    def ended(self, attempt: Attempt) -> None:
+    def ended(self, attempt: Attempt, end: End) -> None:
         """An attempt has ended, written or not."""
-        for place, (out, ticket) in enumerate(self.writes.get(attempt.owner.serial, ())):
+        serial = attempt.owner.serial
+        leave = self.requests.get(serial)
+        if leave is not None and end.outcome in IDLE:
+            leave.used = False  # what comes next is the first that may run: by a leave that is young enough
+        for place, (out, ticket) in enumerate(self.writes.get(serial, ())):
             if out is attempt:
                 self.give_back(ticket)
-                del self.writes[attempt.owner.serial][place]
+                del self.writes[serial][place]
                 return
 
     def over(self, item: Open) -> None:
         """A request has its final answer, or its client has left."""
         leave = self.requests.pop(item.serial, None)
-        if leave is not None:
+        if leave is not None and leave.ticket is not None:
             self.give_back(leave.ticket)
         for _, out in self.writes.pop(item.serial, ()):
             self.give_back(out)
--- a/paddlequay/net/peers.py
+++ b/paddlequay/net/peers.py
@@ -184,13 +184,16 @@
         """Send what may go, and set the timer for what is next."""
         for packet in self.outbox.take(self.now()):
             self.send(packet)
+        due = min(self.owner.due(), self.outbox.due())
+        pause = min(LONGEST_PAUSE, max(least, due - self.now()))
+        loop = asyncio.get_running_loop()
         if self.timer is not None:
+            if due != NEVER and self.timer.when() <= loop.time() + pause:
+                return  # set anew at each of many events, it would never be due
             self.timer.cancel()
             self.timer = None
-        due = min(self.owner.due(), self.outbox.due())
         if not self.closed and due != NEVER:
-            pause = min(LONGEST_PAUSE, max(least, due - self.now()))
-            self.timer = asyncio.get_running_loop().call_later(pause, self.woken)
+            self.timer = loop.call_later(pause, self.woken)
 
     def send(self, packet: Packet) -> None:
         if packet.to is not None:
--- a/paddlequay/net/sharing.py
+++ b/paddlequay/net/sharing.py
@@ -61,10 +61,11 @@
         self.loop = asyncio.get_running_loop()
         self.peering, self.seed = peering, config.seed
         self.fleet = Fleet(peering.me, len(peering.peers), acceptors, config.settings.zone)
-        self.longest = max(kind.deadline for kind in config.settings.classes)
+        self.longest = config.limits.ttl_most * max(kind.deadline for kind in config.settings.classes)
         self.node: Node | None = None
         self.peers: Peers | None = None
         self.waiting: asyncio.Task[None] | None = None
+        self.stopped, self.away = True, False
         self.made()  # what cannot be used is said now
         self.leaves = Leaves(settings, exchange, counters, self.loop.time)
         self.front: ChannelFront | None = None
@@ -91,7 +92,8 @@
         return node, peers
 
     async def start(self) -> None:
-        """Join, or wait for the address beside a process that has it."""
+        """Join, or wait for the address beside a process that has it. Again after `stop` as well."""
+        self.stopped = False
         if self.placing is not None:
             self.placing.start()
         if not await self.join():
@@ -110,7 +112,8 @@
         except OSError:
             peers.close()
             return False
-        self.node, self.peers, self.leaves.limits = node, peers, node.limits
+        self.node, self.peers = node, peers
+        self.leaves.joined(node.limits)
         if self.placing is not None:
             self.placing.join(node)
         self.join_channels(node)
@@ -154,7 +157,10 @@
             self.peers.flush()
 
     def stop(self) -> None:
-        """Leave for good: the address is free, and nothing more is admitted under strict limits."""
+        """Leave: the address is free, and nothing more is admitted under strict limits until `start`."""
+        if self.stopped:
+            return
+        self.stopped = True
         self.leave()
         if self.waiting is not None:
             self.waiting.cancel()
@@ -163,7 +169,19 @@
         if self.placing is not None:
             self.placing.part()
             self.placing.stop()
-        self.node = self.peers = self.front = self.leaves.limits = None
+        self.leaves.joined(None)
+        self.node = self.peers = None
+
+    def give_way(self) -> None:
+        """A newer process of this router takes over: its share is no longer this one's."""
+        self.stop()
+        self.away = True
+
+    def come_back(self) -> None:
+        """There is no newer process, or no longer: the share is this one's again, in a new life."""
+        if self.away:
+            self.away = False
+            self.waiting = asyncio.ensure_future(self.start())
 
     # --- the exchange's Watch ---
 
@@ -178,13 +196,14 @@
         return wait
 
     def writing(self, attempt: Attempt, left: float) -> Note | None:
+        # Also after this process has left: a fill ahead that still waits is refused by its term.
         note = self.front.writing(attempt) if self.front is not None else None
         note = note or self.leaves.writing(attempt, left)
         self.wake()
         return note
 
     def ended(self, attempt: Attempt, end: End) -> None:
-        self.leaves.ended(attempt)
+        self.leaves.ended(attempt, end)
         if self.node is None or self.node.verdicts is None or attempt.written is None:
             return
         kind = self.exchange.router.kinds[attempt.owner.ask.class_name]
