Clear parents of no told size by answers in time, and bound what settings tell of sizes

Seen on a reading, each by a probe: with notes off and sizes untold a parent blamed for failed fills was never credited, and an idle one shed 293 of 1,000 (5 with notes); a skipped member's trial that a short-lived client ended was followed by the next at once; an aim above the deadline silenced time-outs; past the caches a keyed repeat could leave its group; a weight of -1 raised in the second request. Without a cluster a look-up is asked by a plain number again. A fault of the cluster costs no request its answer. Tests fail with the credit and the bounds taken out.

--- a/paddlequay/exchange.py
+++ b/paddlequay/exchange.py
@@ -380,8 +380,6 @@
     def forget(self, item: Open) -> None:
         """The request is over; attempts that are still out are given up."""
         del self.open[item.serial]
-        if self.watch is not None:
-            self.watch.over(item)
         self.ids.discard(item.ask.id)
         self.held -= len(item.ask.body)
         if item.guard is not None:
@@ -394,3 +392,5 @@
                 self.drop(attempt)
         # Attempts name their owner: without this, each request would wait for the cycle collector.
         item.attempts.clear()
+        if self.watch is not None:
+            self.watch.over(item)
--- a/paddlequay/net/sharing.py
+++ b/paddlequay/net/sharing.py
@@ -5,11 +5,12 @@
 """
 
 import asyncio
+import contextlib
 import logging
 import random
 import time
 from collections import OrderedDict
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 from typing import TYPE_CHECKING
 
 from paddlequay import log
@@ -187,23 +188,38 @@
 
     def asked(self, item: Open, left: float) -> float | None:
         wait = self.leaves.asked(item, left)
-        if wait is None:
-            if self.front is not None:
+        with self.guarded():
+            if wait is None and self.front is not None:
                 self.front.asked(item)
-            if self.placing is not None:
+            if wait is None and self.placing is not None:
                 self.placing.asked(item.ask)
-        self.wake()
+            self.wake()
         return wait
 
+    @contextlib.contextmanager
+    def guarded(self) -> Iterator[None]:
+        """What is help must not cost a request its answer: a fault of the cluster's is counted and logged."""
+        try:
+            yield
+        except Exception:
+            if self.counters.add_once("cluster.errors"):
+                LOGGER.exception("cluster_failed")
+
     def writing(self, attempt: Attempt, left: float) -> Note | None:
         # Also after this process has left: a fill ahead that still waits is refused by its term.
         note = self.front.writing(attempt) if self.front is not None else None
         note = note or self.leaves.writing(attempt, left)
-        self.wake()
+        with self.guarded():
+            self.wake()
         return note
 
     def ended(self, attempt: Attempt, end: End) -> None:
-        self.leaves.ended(attempt, end)
+        with self.guarded():
+            self.leaves.ended(attempt, end)
+            self.evident(attempt, end)
+
+    def evident(self, attempt: Attempt, end: End) -> None:
+        """What the end of an attempt is evidence of."""
         if self.node is None or self.node.verdicts is None or attempt.written is None:
             return
         kind = self.exchange.router.kinds[attempt.owner.ask.class_name]
@@ -224,9 +240,10 @@
         self.wake(bool(actions))
 
     def over(self, item: Open) -> None:
-        self.leaves.over(item)
-        if self.front is not None:
-            self.front.over(item)
+        with self.guarded():
+            self.leaves.over(item)
+            if self.front is not None:
+                self.front.over(item)
 
     def wake(self, now: bool = False) -> None:
         """What was asked may have to be told earlier than the timer is set for."""
--- a/paddlequay/placement/following.py
+++ b/paddlequay/placement/following.py
@@ -52,6 +52,9 @@
         self.source: Callable[[Asked], tuple[Sheet, Placed] | None] | None = None
         self.sheets: OrderedDict[int, tuple[Sheet, int, Homes[str]]] = OrderedDict()  # by identity
 
+    def key(self, request: Request) -> int:
+        return asked(request) if self.source is not None else super().key(request)
+
     def order(self, key: int, share: Callable[[M], float] = always_whole) -> Iterator[M]:
         """Members from the first home on. A member that is cold has as much of its shards as it can give."""
         found = self.source(key) if self.source is not None and isinstance(key, Asked) else None
--- a/paddlequay/placement/homes.py
+++ b/paddlequay/placement/homes.py
@@ -18,6 +18,8 @@
 
 from xxhash import xxh3_64_intdigest
 
+from paddlequay.interface import Request
+
 M = TypeVar("M")
 
 SLOTS = 1 << 16  # the same for all routers for good: another number moves every object
@@ -193,6 +195,10 @@
             if name in members:
                 yield members[name]
 
+    def key(self, request: Request) -> int:
+        """What the order of a request's homes is asked for by."""
+        return place(request.key, request.part)
+
     def home(self, key: int) -> M | None:
         """The first home of a key, all members taken as warm."""
         return next(self.order(key), None)
--- a/paddlequay/policy/answers.py
+++ b/paddlequay/policy/answers.py
@@ -36,7 +36,8 @@
         item.lost = event.outcome is Outcome.RESET
         blamed = self.blame(attempt, event)
         item.failed.append(blamed.entry.name)
-        if event.outcome is Outcome.TIMEOUT and item.deadline - attempt.sent < self.know.latency.aim(item):
+        short = item.deadline - attempt.sent < self.know.latency.aim(item) and not blamed.skipped
+        if event.outcome is Outcome.TIMEOUT and short:
             return []  # its client gave it less time than answers take: no word on whoever was asked
         plain = event.outcome is Outcome.ERROR and event.note is None
         item.errors += plain
@@ -85,6 +86,8 @@
         waited = event.note and (event.waited is None or event.waited > WAITED_SHARE * event.latency)
         late = self.know.latency.learn(item, event.latency)
         self.know.limits.pace(source if filled and waited else attempt.target, late, now)
+        if filled and event.note is None and not (late or source.fits):
+            self.know.limits.pace(source, late, now)  # no size bounds its cuts, and nothing else clears them
         return said
 
     def blame(self, attempt: Attempt, event: AttemptEnded) -> Server:
--- a/paddlequay/policy/ladder.py
+++ b/paddlequay/policy/ladder.py
@@ -5,7 +5,6 @@
 
 from paddlequay.fleet.link import dear
 from paddlequay.interface import Cause
-from paddlequay.placement.following import asked
 from paddlequay.placement.homes import digest, place
 from paddlequay.policy.beliefs import Beliefs
 from paddlequay.policy.hotness import SPREAD_READS
@@ -56,7 +55,8 @@
         source = None if item.unfillable else self.pick_source(item, edge, now)
         cause = "link_full" if item.link_full else cause
         if edge is None:
-            return cause if source is None else (source, [*self.know.members.origins, source][0])
+            far = next(iter(self.know.members.origins), source)
+            return cause if source is None or far is None or not item.same_group(source) else (source, far)
         if source is not None:
             return edge, source
         looked = any(attempt.target is attempt.source for attempt in item.attempts)
@@ -89,7 +89,7 @@
 
     def pick_edge(self, item: Open, now: float) -> tuple[Server | None, bool]:
         """The hash of object and part, over two above a rate, the next where it fails; and was one busy?"""
-        ranked = self.ranked(Tier.EDGE, asked(item.request), now)
+        ranked = self.ranked(Tier.EDGE, self.know.members.homes[Tier.EDGE].key(item.request), now)
         fit = (e for e in ranked if item.same_group(e) and e.entry.name not in item.failed)
         first = sorted(islice(fit, 2), key=lambda e: e.out) if item.seen.reads > SPREAD_READS else []
         busy = None
--- a/paddlequay/policy/latency.py
+++ b/paddlequay/policy/latency.py
@@ -36,8 +36,8 @@
         return work, min(COST_MOST, work / self.mean_work)
 
     def aim(self, item: Open) -> float:
-        """When the answer is wanted, by the work where it is told, else by the class's."""
-        return item.kind.aim + (item.kind.aim_stretch or 0.0) * item.work
+        """When the answer is wanted, by the work if it is told, else by the class's; up to the deadline."""
+        return min(item.kind.deadline, item.kind.aim + (item.kind.aim_stretch or 0.0) * item.work)
 
     def timeout(self, item: Open, now: float) -> float:
         """Past the learned latency of nearly all answers; all that is left where no repeat would fit."""
--- a/paddlequay/policy/limits.py
+++ b/paddlequay/policy/limits.py
@@ -84,7 +84,7 @@
                 server.limit = min(LIMIT_MOST, server.limit * math.exp(growth * min(since, 1.0)))
         elif late and now - server.cut_at >= LIMIT_PAUSE_S:
             server.cut_at = now
-            least = max(LIMIT_LEAST, FITS_LEAST * (server.fits or 0.0))
+            least = min(LIMIT_MOST, max(LIMIT_LEAST, FITS_LEAST * (server.fits or 0.0)))
             server.limit = max(least, min(server.limit, out + 1.0) * LIMIT_CUT)
 
     def inherit(self, servers: Iterable[Server], told: Mapping[str, float]) -> None:
--- a/paddlequay/policy/members.py
+++ b/paddlequay/policy/members.py
@@ -7,7 +7,7 @@
 from paddlequay.interface import MembersChanged, Ramp, Settings, State
 from paddlequay.placement.following import Following
 from paddlequay.placement.homes import Homes
-from paddlequay.policy.limits import FITS_LEAST, LIMIT_START
+from paddlequay.policy.limits import FITS_LEAST, LIMIT_LEAST, LIMIT_MOST, LIMIT_START
 from paddlequay.records import Server, Tier
 
 
@@ -42,9 +42,9 @@
                 # and old failures would keep it skipped, old limits and copies unused or hoped for.
                 left += self.drop(entry.name)
                 tier = self.tiers.get(entry.kind, Tier.EDGE)
-                fits = entry.weight if self.settings.sized and tier is not Tier.ORIGIN else None
-                limit = FITS_LEAST * fits if fits else LIMIT_START[tier]
-                self.servers[entry.name] = Server(entry, tier, now, fits=fits, limit=limit)
+                fits = max(0.0, entry.weight or 0.0) * (self.settings.sized and tier is not Tier.ORIGIN)
+                limit = min(LIMIT_MOST, max(LIMIT_LEAST, FITS_LEAST * fits)) if fits else LIMIT_START[tier]
+                self.servers[entry.name] = Server(entry, tier, now, fits=fits or None, limit=limit)
             else:
                 known.entry = entry
         self.rebuild(now)
--- a/paddlequay/records.py
+++ b/paddlequay/records.py
@@ -43,7 +43,7 @@
     heard_at: float = -math.inf
     cut_at: float = -math.inf
     room_at: float = -math.inf
-    # paces.py
+    # cold.py, by whoever sends
     bucket: Bucket = field(default_factory=Bucket)
 
     @property
@@ -59,7 +59,7 @@
 
 @dataclass(slots=True)
 class Seen:
-    """The aging memory of one part of an object: how often it was read, and who holds it (reads.py)."""
+    """The aging memory of one part of an object: how often it was read, and who holds it (hotness.py)."""
 
     read_at: float
     reads: float = 0.0
@@ -99,7 +99,7 @@
     errors: int = 0
     lost: bool = False
     lacking: bool = False  # no source has it, or none can get at it
-    # repeats.py
+    # attempts.py
     poor: bool = False
     # ladder.py
     link_full: bool = False
--- a/tests/test_policy_sizes.py
+++ b/tests/test_policy_sizes.py
@@ -1,12 +1,13 @@
 """Limits where the settings tell members' ways out, and answers carry neither notes nor load."""
 
 import math
+from dataclasses import replace
 
 import pytest
-from driver import EDGES, ORIGIN, PARENTS, Driver
+from driver import EDGES, EVERYBODY, ORIGIN, PARENTS, Driver
 
-from paddlequay.interface import AttemptEnded, Member, Outcome, State
-from paddlequay.policy.limits import FITS_LEAST, LIMIT_GROWTH, LIMIT_START
+from paddlequay.interface import AttemptEnded, Fetch, Member, Outcome, State
+from paddlequay.policy.limits import FITS_LEAST, LIMIT_GROWTH, LIMIT_LEAST, LIMIT_MOST, LIMIT_START
 from paddlequay.records import Tier
 
 FITS = 4.0
@@ -67,3 +68,32 @@
     for parent in SIZED_PARENTS:
         server = driver.router.know.members.servers[parent.name]
         assert server.late == 0.0 and server.limit == FITS_LEAST * 20.0
+
+
+def test_without_notes_a_parent_that_timed_out_is_cleared_by_answers_in_time() -> None:
+    """Blamed for fills that fail and never credited, it stayed late for good, and idle parents shed."""
+    driver = Driver(notes=False, routers=12, routers_here=4)
+    for number in range(6):
+        driver.now += 0.6
+        fetch = driver.fetch(key=number)
+        driver.end(fetch, Outcome.TIMEOUT)
+    parent = driver.router.know.members.servers[fetch.source]
+    assert parent.late > 0.15
+    served = 0
+    for number in range(200):
+        driver.now += 0.2
+        (action,) = driver.ask(key=1000 + number)
+        if isinstance(action, Fetch):
+            served += action.source == parent.entry.name
+            driver.serve(action)
+    assert served > 20 and parent.late < 0.15
+
+
+def test_sizes_that_make_no_sense_are_no_sizes_and_limits_keep_their_bounds() -> None:
+    for weight in (-1.0, 0.0, 0.001, 1e9):
+        members = tuple(replace(each, weight=weight) for each in EVERYBODY)
+        driver = Driver(members, weights="nominal", flow_kb_per_s=300.0)
+        for number in range(12):
+            driver.ask(key=number)
+        limits = [server.limit for server in driver.router.know.members.servers.values()]
+        assert all(LIMIT_LEAST <= limit <= LIMIT_MOST for limit in limits), (weight, limits)
