--- a/tests/cluster/test_peers.py
+++ b/tests/cluster/test_peers.py
@@ -215,3 +215,25 @@
         a.say(1, Load(3, 3))
         await until(lambda: bool(a.ears.heard and b.ears.heard))
         assert b.ears.heard == [(0, Load(3, 3))]
+
+
+def test_events_at_every_turn_of_the_loop_do_not_put_the_timer_off() -> None:
+    """A full router's loop has events at each turn; a timer set anew at each of them was never due."""
+
+    async def run() -> None:
+        async with routers(2) as (one, _):
+            one.ears.at = 0.0  # due, and at each event still so
+            left = 2000
+
+            def event() -> None:
+                nonlocal left
+                one.flush()
+                left -= 1
+                if left and not one.ears.ticks:
+                    asyncio.get_running_loop().call_soon(event)
+
+            asyncio.get_running_loop().call_soon(event)
+            await until(lambda: one.ears.ticks > 0 or not left)
+            assert left, "two thousand turns, and no tick"
+
+    asyncio.run(run())
