Test that a share in the cluster is one process's at a time, and comes back where the newer dies

Two processes of one router: the older leaves before the newer joins, and takes its share again when that one is killed. Seen to fail with the return taken out.

--- /dev/null
+++ b/tests/cluster/test_sharing_twin.py
@@ -0,0 +1,48 @@
+"""One process of a router replaces another: its share in the cluster is one process's at a time."""
+
+import json
+import sys
+from pathlib import Path
+
+import pytest
+
+sys.path.insert(0, str(Path(__file__).parent.parent))  # the harness of the tests above
+
+from harness import SETTINGS, platform, until
+
+from paddlequay.lab.fleet_rig import free_udp
+
+CLUSTER = """cluster {
+  name: "alone"
+  acceptor: 0
+  limit { name: "charges" by: CLASS match: "charge" rate: 5 burst: 2 floor: 1 }
+}
+"""
+
+
+def test_the_older_process_leaves_first_and_comes_back_where_the_newer_one_dies(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    file = tmp_path / "cluster.txtpb"
+    file.write_text(CLUSTER)
+    monkeypatch.setenv("PADDLEQUAY_CLUSTER", str(file))
+    host, port = free_udp()
+    settings = SETTINGS | {"me": 0, "limits": SETTINGS["limits"] | {"peers": True}}
+    peers = {"peers": [f"{host}:{port}"], "peer_listen": f"{host}:{port}"}
+    with platform(settings=settings, **peers) as p:
+
+        def shares(console: tuple[str, int]) -> bool:
+            return "out" not in json.loads(p.call("/-/cluster", "GET", console)[1])
+
+        p.publish({"no": 1})
+        p.ready()
+        older = p.console
+        until(lambda: shares(older), "the first process has its share")
+        newer = p.start()
+        p.publish({"no": 1})
+        p.ready()
+        p.logged("event=newer_process_ready")
+        until(lambda: not shares(older) and shares(p.console), "the newer one has it")
+        newer.kill()
+        newer.wait(5.0)
+        until(lambda: shares(older), "the older one has it again")
