--- /dev/null
+++ b/paddlequay/net/client_words.py
@@ -0,0 +1,67 @@
+"""A client's call as a request in the exchange's terms; what no cache could use is refused here."""
+
+import re
+from collections.abc import Mapping
+from typing import Any
+
+from paddlequay.asks import Ask
+from paddlequay.config import Limits
+from paddlequay.interface import RequestClass
+from paddlequay.protocol import clients as wire
+
+HEX = re.compile(r"[0-9a-f]{16}")
+WHOLE = re.compile(r"[0-9]{1,9}")
+MARK = re.compile(r"[01]")
+
+
+class FieldError(ValueError):
+    """A field that cannot be used."""
+
+
+def pick(fields: Mapping[Any, Any], name: str, pattern: re.Pattern[str], needed: bool = True) -> str | None:
+    """A field's text, as it is."""
+    value = fields.get(name)
+    if value is None and not needed:
+        return None
+    if not isinstance(value, str) or not pattern.fullmatch(value):
+        raise FieldError(f"field {name} cannot be used")
+    return value
+
+
+def number(fields: Mapping[Any, Any], name: str, most: int, needed: bool = False) -> int | None:
+    """A field's whole number, from 0 to `most`."""
+    text = pick(fields, name, WHOLE, needed)
+    if text is None:
+        return None
+    if int(text) > most:
+        raise FieldError(f"field {name} is out of range")
+    return int(text)
+
+
+def read_ask(call: wire.Call, kind: RequestClass, limits: Limits) -> Ask:
+    """A call's fields as a request in the exchange's terms.
+
+    Nothing is passed on that a cache could not use or read: it would answer by an error, or close the
+    connection on all that share it.
+    """
+    fields = call.fields
+    if not all(isinstance(name, str) and isinstance(value, str) for name, value in fields.items()):
+        raise FieldError("fields are strings")
+    if len(call.body) > limits.client_body:
+        raise FieldError("the body is longer than allowed")
+    name = pick(fields, "row", HEX) or ""
+    ttl = number(fields, "ttl", int(1000 * limits.ttl_most * kind.deadline), needed=True)
+    if not ttl:
+        raise FieldError("field ttl leaves no time")
+    return Ask(
+        id=pick(fields, "call", HEX) or "",
+        class_name=call.method,
+        ttl=ttl / 1000.0,
+        name=name,
+        key=int(name, 16),
+        part=number(fields, "slice", limits.part_most),
+        group=number(fields, "set", limits.group_most),
+        body=call.body,
+        known=pick(fields, "seen", HEX, False),
+        retry=pick(fields, "rep", MARK, False) == "1",
+    )
--- a/tests/test_channel_front.py
+++ b/tests/test_channel_front.py
@@ -15,7 +15,7 @@
 from paddlequay.cluster.types import Action, Bounds, Fleet, Peer, Tell
 from paddlequay.exchange import Exchange
 from paddlequay.interface import Note, Outcome
-from paddlequay.net.caches import order_fields
+from paddlequay.net.cache_words import order_fields
 from paddlequay.net.channels import ChannelFront
 from paddlequay.placement.homes import digest
 
--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -7,7 +7,7 @@
 from paddlequay.hierarchy.node import Answer, Fill, Node, NodeLimits, Want, Word
 from paddlequay.hierarchy.terms import Terms
 from paddlequay.interface import Effect, HeldBy, Note, RequestClass, Settings
-from paddlequay.net.caches import read_end
+from paddlequay.net.cache_words import read_end
 from paddlequay.net.tier import FieldError, read_channel
 from paddlequay.policy import Router
 from paddlequay.protocol import caches as wire
