Say what is wrong with settings that raised, and take out what nothing uses

The adapter's share numbered attempts wrongly once its table was full, and took a digest twice. One reader of rules files in place of two. Out: open_now and its books, by_router, taken_after, settings_file.

--- a/paddlequay/adapter.py
+++ b/paddlequay/adapter.py
@@ -341,9 +341,10 @@
 
     def share(fields: Fields, router: Router, now: float) -> SimShare | None:
         told = json.loads(fields.need("settings", str))
-        if told.get("limits", {}).get("peers") is not True:
+        allowed = (told.get("limits") or {}).get("peers") is True
+        me, size, salt = told.get("me"), told.get("groupSize"), fields.need("salt", int)
+        if not allowed or not isinstance(me, int) or not isinstance(size, int) or not 0 <= me < size:
             return None
-        me, size, salt = int(told["me"]), int(told["groupSize"]), fields.need("salt", int)
         return SimShare(settings, me, size, router, salt, now)
 
     return share
--- a/paddlequay/cluster/granter.py
+++ b/paddlequay/cluster/granter.py
@@ -80,7 +80,6 @@
 
     askers: dict[Peer, Asker] = field(default_factory=dict)
     out: dict[tuple[Peer, int], Out] = field(default_factory=dict)
-    kept: dict[Peer, tuple[Share, float]] = field(default_factory=dict)  # what may be kept, and until when
     shares: dict[Peer, Share] = field(default_factory=dict)
     fresh: float = 0.0  # until when `shares` is used
 
@@ -137,8 +136,6 @@
             share = NOTHING
         share = Share(share.milli // unit * unit, share.burst)
         book.out.setdefault((sender, incarnation), Out()).add(share, now + self.late(kept.life))
-        if kept.mode is Mode.OPEN:
-            book.kept[sender] = (share.least(kept.whole.kept), now + kept.life + self.bounds.epoch)
         return share
 
     def others(self, book: Book, sender: Peer, incarnation: int, now: float) -> Share:
@@ -203,18 +200,3 @@
             del self.books[oldest]
         book = self.books[limit] = Book()
         return book
-
-    def open_now(self, limit: Name, now: float) -> Share:
-        """What routers that have gone silent may use beside their floors without a grant: over the limit.
-
-        Only what this holder granted: a bound in all cases is `size * Whole.kept`.
-        """
-        book = self.books.get(limit)
-        share = NOTHING
-        for peer, (kept, until) in (book.kept if book else {}).items():
-            live = (
-                any(out.most(now).milli for key, out in book.out.items() if key[0] == peer) if book else False
-            )
-            if until > now and not live:
-                share = share.plus(kept)
-        return share
--- a/paddlequay/config.py
+++ b/paddlequay/config.py
@@ -142,7 +142,7 @@
 def address(text: Any, name: str) -> Address:
     """`host:port` as a pair."""
     host, colon, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
-    if not (colon and host and port.isdigit() and 0 <= int(port) < 65536):
+    if not (colon and host and port.isdecimal() and 0 <= int(port) < 65536):
         raise ConfigError(f"{name}: expected host:port, got {text!r}")
     return host, int(port)
 
--- a/paddlequay/lab/cluster_audit.py
+++ b/paddlequay/lab/cluster_audit.py
@@ -4,7 +4,7 @@
 answers where they were awaited; of leases only what two looks at one router and one at another between prove.
 """
 
-from collections import Counter, defaultdict
+from collections import Counter
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Any
@@ -99,12 +99,3 @@
     counts = Counter(answer.id for answer in answers)
     let_off = set(excused)
     return [id for id in asked if counts[id] > 1 or (counts[id] == 0 and id not in let_off)]
-
-
-def by_router(moments: Iterable[Moment], key: str) -> dict[int, list[Any]]:
-    """One field of all pages, by router."""
-    found: dict[int, list[Any]] = defaultdict(list)
-    for moment in moments:
-        for router, page in moment.pages.items():
-            found[router].append(page.get(key))
-    return dict(found)
--- a/paddlequay/lab/cluster_model_drive.py
+++ b/paddlequay/lab/cluster_model_drive.py
@@ -218,12 +218,3 @@
         times = sorted(at - parent.since for at in self.words[parent.subject].values())
         need = int(share * sum(box.node is not None for box in self.world.boxes) + 0.999)
         return times[need - 1] if len(times) >= need else None
-
-    def taken_after(self, at: float) -> float | None:
-        """Seconds until each lease was taken by somebody after `at`."""
-        waits = [
-            min((took - at for took, _, _ in takes if took > at), default=None)
-            for takes in self.takes.values()
-        ]
-        told = [wait for wait in waits if wait is not None]
-        return max(told) if told and len(told) == len(waits) else None
--- a/paddlequay/lab/fleet_rig.py
+++ b/paddlequay/lab/fleet_rig.py
@@ -66,7 +66,6 @@
         self.nowhere = free_port()  # nobody listens there
         self.places = [Place(number, address) for number, address in enumerate(self.load.routers)]
         self.did: list[Did] = []
-        self.settings_file = settings
         self.blind: set[int] = set()  # routers to which every member is dead, from their next start on
 
     async def up(self) -> None:
--- a/paddlequay/net/placing.py
+++ b/paddlequay/net/placing.py
@@ -21,10 +21,9 @@
 from paddlequay.counters import Counters
 from paddlequay.exchange import Exchange
 from paddlequay.interface import HeldBy, Member, Request, Settings, State
-from paddlequay.placement.checks import read_rules
+from paddlequay.placement.checks import read_rules_file
 from paddlequay.placement.compile import compile_rules
 from paddlequay.placement.following import Asked, Following, asked
-from paddlequay.placement.grammar import BYTES_MOST
 from paddlequay.placement.homes import digest, key_of
 from paddlequay.placement.mover import BusyError, Mover, Placed
 from paddlequay.placement.rules import Rules
@@ -82,12 +81,7 @@
         homes.source = self.found
 
     def read(self) -> Rules:
-        try:
-            with open(self.path, "rb") as file:
-                data = file.read(BYTES_MOST + 1)
-        except OSError as error:
-            raise ConfigError(f"{self.path}: {error.strerror or error}") from None
-        return read_rules(str(self.path), data, [kind.name for kind in self.settings.classes])
+        return read_rules_file(self.path, [kind.name for kind in self.settings.classes])
 
     # --- its life ---
 
--- a/paddlequay/net/sharing.py
+++ b/paddlequay/net/sharing.py
@@ -19,7 +19,17 @@
 from paddlequay.cluster.node import News, Node
 from paddlequay.cluster.notes import Note as PeerNote
 from paddlequay.cluster.settings import ClusterSettings
-from paddlequay.cluster.types import Action, Fleet, Local, Name, Peer, Say, TableChanged, VerdictChanged
+from paddlequay.cluster.types import (
+    PEERS_MOST,
+    Action,
+    Fleet,
+    Local,
+    Name,
+    Peer,
+    Say,
+    TableChanged,
+    VerdictChanged,
+)
 from paddlequay.cluster.wire import Head
 from paddlequay.config import Config, Peering
 from paddlequay.counters import Counters
@@ -55,6 +65,8 @@
         exchange: Exchange,
         counters: Counters,
     ) -> None:
+        if len(peering.peers) > PEERS_MOST:
+            raise ValueError(f"expected at most {PEERS_MOST} peers, got {len(peering.peers)}")
         acceptors = settings.acceptors
         if any(number >= len(peering.peers) for number in acceptors):
             raise ValueError(f"acceptors {list(acceptors)}: there are {len(peering.peers)} peers")
--- a/paddlequay/placement/checks.py
+++ b/paddlequay/placement/checks.py
@@ -60,14 +60,19 @@
     return rules
 
 
-def check_rules(path: str | Path) -> str:
-    """One line on what a file of rules holds; `ConfigError` where it cannot be used."""
+def read_rules_file(path: str | Path, classes: Iterable[str] | None = None) -> Rules:
+    """As `read_rules`, from a file; `ConfigError` too where it cannot be read."""
     try:
         with open(path, "rb") as file:
             data = file.read(BYTES_MOST + 1)
     except OSError as error:
         raise ConfigError(f"{path}: {error.strerror or error}") from None
-    rules = read_rules(str(path), data)
+    return read_rules(str(path), data, classes)
+
+
+def check_rules(path: str | Path) -> str:
+    """One line on what a file of rules holds; `ConfigError` where it cannot be used."""
+    rules = read_rules_file(path)
     shards = sum(rule.shards for rule, _ in rules.plan())
     pace = "all at once" if rules.pace is None else f"{rules.pace} shards a second"
     told = (counted(rules.rules, "rule"), counted(rules.cells, "cell"), counted(rules.tenants, "tenant"))
--- a/paddlequay/schema/cluster.py
+++ b/paddlequay/schema/cluster.py
@@ -72,6 +72,8 @@
     channels = read_channels(told.channels, check) if told.HasField("channels") else None
     if (limits or channels or told.rules) and not acceptors:
         raise lines.error("cluster.acceptor", "limits, channels and rules need leases, and they acceptors")
+    if "\0" in told.rules:
+        raise lines.error("cluster.rules", "expected a path, got one with a NUL character")
     return ClusterSettings(
         name=told.name,
         acceptors=acceptors,
@@ -107,8 +109,13 @@
     lines = check.lines
     if not told.match or len(told.match) > 200:
         raise lines.error(f"{at}.match", 'expected what it is for, or "*"', told.match)
+    for field, known in (("by", BYS), ("mode", MODES)):
+        value = getattr(told, field)
+        if value not in known:
+            raise lines.error(f"{at}.{field}", f"expected a name of the schema, got {value}", str(value))
     by = BYS[told.by]
-    if by is By.GROUP and told.match != "*" and not told.match.isdecimal():
+    whole = told.match.isdecimal() and str(int(told.match)) == told.match
+    if by is By.GROUP and told.match != "*" and not whole:
         raise lines.error(f"{at}.match", f"expected a group's number, got {told.match!r}", told.match)
     if bool(told.rate) == bool(told.at_once):
         raise lines.error(f"{at}.rate", f"{told.name}: expected either rate or at_once")
--- a/paddlequay/simshare.py
+++ b/paddlequay/simshare.py
@@ -49,10 +49,11 @@
     def acted(self, actions: list[Asked]) -> None:
         """What the decisions asked for: attempts are numbered as they are made."""
         for action in actions:
-            if isinstance(action, Fetch) and len(self.fetches) < FETCHES_MOST:
+            if isinstance(action, Fetch):
                 number = self.counts.get(action.request, 0)
                 self.counts[action.request] = number + 1
-                self.fetches[action.request, number] = action
+                if len(self.fetches) < FETCHES_MOST:
+                    self.fetches[action.request, number] = action
 
     def ended(self, event: AttemptEnded, now: float) -> list[FleetWord]:
         """An attempt's end is evidence."""
@@ -68,9 +69,10 @@
         for name, ok, trouble in evidence.found(fetch, event.outcome, event.note, event.silent, origin):
             if name in servers:
                 entry = servers[name].entry
-                self.names[digest(name)] = name
+                number = digest(name)
+                self.names[number] = name
                 start = int((entry.started or 0.0) * 1000)
-                actions += verdicts.saw(digest(name), start, entry.kind or "", ok, trouble, now)
+                actions += verdicts.saw(number, start, entry.kind or "", ok, trouble, now)
         return self.told(self.node.settle(actions, now), now)
 
     def over(self, request: str) -> None:
