Take out a mode that grants no longer carry, and a page read back from its own text

Kept.mode served the books that are gone; the operators' page decoded what Placing.page had just encoded. No behaviour.

--- a/paddlequay/cluster/granter.py
+++ b/paddlequay/cluster/granter.py
@@ -13,7 +13,6 @@
 from dataclasses import dataclass, field
 
 from paddlequay.cluster.notes import Grant, Need
-from paddlequay.cluster.settings import Mode
 from paddlequay.cluster.share import NOTHING, Share, Whole, divide, divide_burst
 from paddlequay.cluster.types import NEVER, Bounds, Name, Peer
 
@@ -31,7 +30,6 @@
 
     lease: Name
     whole: Whole
-    mode: Mode
     life: float  # of its grants, seconds
 
 
--- a/paddlequay/cluster/limits.py
+++ b/paddlequay/cluster/limits.py
@@ -138,7 +138,7 @@
         for rule in rules:
             lease = lease_of(rule)
             life = bounds.grant + (stay if rule.at_once is not None else 0.0)
-            kept = Kept(lease, whole(rule, fleet.size), rule.mode, life)
+            kept = Kept(lease, whole(rule, fleet.size), life)
             if lease >> VALUE_BITS in self.rules:
                 raise ValueError(
                     f"limit {rule.name}: another has the same name, or one that cannot be told apart"
--- a/paddlequay/net/placing.py
+++ b/paddlequay/net/placing.py
@@ -252,11 +252,11 @@
 
     # --- for operators ---
 
-    def page(self) -> str:
-        """What is in use and what is compiled here, as JSON."""
+    def page(self) -> dict[str, object]:
+        """What is in use and what is compiled here."""
         now, tables, mover = self.clock(), self.tables, self.mover
         epoch = tables.in_use(now) if tables is not None else None
-        page: dict[str, object] = {
+        return {
             "epoch": None if epoch is None else mark(epoch),
             "table": None if epoch is None or tables is None else f"{tables.table(now) or 0:016x}",
             "follows": None if epoch is None or mover is None else mover.table.digest[:16],
@@ -266,7 +266,6 @@
             "moving": mover.waiting(now) if mover is not None else 0,
             "next_waits": self.waits is not None,
         }
-        return json.dumps(page)
 
     def explain(self, text: str) -> str:
         """Where an object is placed, and why: asked by `key=ab12,part=3,class=video,group=7,tenant=acme`, of
--- a/paddlequay/net/sharing_page.py
+++ b/paddlequay/net/sharing_page.py
@@ -23,7 +23,7 @@
         "incarnation": node.liveness.incarnation,
         "at": time.time(),
         "peers": {peer: node.liveness.standing(peer).value for peer in range(node.fleet.size)},
-        "leases": leases(sharing, node, now),
+        "leases": leases(node, now),
         "limits": limits(sharing, node),
         "words": words(sharing, node, now),
         "sent": dict(node.outbox.counts),
@@ -37,11 +37,11 @@
             if bundle.live
         }
     if sharing.placing is not None:
-        shown["placement"] = json.loads(sharing.placing.page())
+        shown["placement"] = sharing.placing.page()
     return json.dumps(shown)
 
 
-def leases(sharing: "Sharing", node: "Node", now: float) -> dict[str, Any]:
+def leases(node: "Node", now: float) -> dict[str, Any]:
     """Of each limit: who holds it as far as was heard, and the term if it is this router."""
     if node.leases is None or node.limits is None:
         return {}
--- a/tests/cluster/test_limits_part.py
+++ b/tests/cluster/test_limits_part.py
@@ -6,7 +6,7 @@
 from paddlequay.cluster.granter import Granter, Kept
 from paddlequay.cluster.limits import Limits, Refused, Ticket, lease_of, limit_of
 from paddlequay.cluster.notes import Grant, Need
-from paddlequay.cluster.settings import By, LimitRule, Mode
+from paddlequay.cluster.settings import By, LimitRule
 from paddlequay.cluster.share import NOTHING, Share, whole
 from paddlequay.cluster.types import Action, Bounds, Fleet, HolderSeen, LeaseTaken, Tell
 
@@ -135,7 +135,7 @@
 
 
 def test_holder_counts_out_what_it_told_and_hears_no_need_twice() -> None:
-    kept = Kept(lease_of(RATE), whole(RATE, 4), Mode.STRICT, 0.6)
+    kept = Kept(lease_of(RATE), whole(RATE, 4), 0.6)
     term: list[int | None] = [3]
     granter = Granter(Bounds(), 4, lambda lease, now: term[0])
     limit = limit_of(kept.lease, "c")
@@ -200,7 +200,7 @@
 
 def test_a_share_that_lets_no_request_through_is_left_to_others() -> None:
     rule = LimitRule("rate", By.CLASS, "c", rate=90.0, burst=3.5, floor=0.0)
-    kept = Kept(lease_of(rule), whole(rule, 3), Mode.STRICT, 0.6)
+    kept = Kept(lease_of(rule), whole(rule, 3), 0.6)
     granter = Granter(Bounds(), 3, lambda lease, now: 1)
     granter.taken(kept.lease, 1, -1.0)
     limit = limit_of(kept.lease, "c")
--- a/tests/cluster/test_placing.py
+++ b/tests/cluster/test_placing.py
@@ -182,7 +182,7 @@
         world.path.write_text(RULES.format("e1").replace("64 ", "128 ").replace("63", "127"))
         world.placing.reload()
         await world.beat(1.0)
-        assert world.placing.waits is not None and json.loads(world.placing.page())["next_waits"]
+        assert world.placing.waits is not None and world.placing.page()["next_waits"]
         world.run(6.0)
         await world.beat(20.0)
         assert world.placing.waits is None and world.all_at("e1")
