--- /dev/null
+++ b/paddlequay/net/connection.py
@@ -0,0 +1,190 @@
+"""One connection to a cache, parent or the origin: what waits for it and what is out on it, until its end."""
+
+import asyncio
+import logging
+import math
+import socket
+from collections import OrderedDict, deque
+from typing import TYPE_CHECKING
+
+from tornado.iostream import IOStream, StreamClosedError
+
+from paddlequay import log
+from paddlequay.asks import Attempt, End
+from paddlequay.interface import Outcome
+from paddlequay.net.cache_words import order_fields, read_end
+from paddlequay.protocol import caches as wire
+
+if TYPE_CHECKING:
+    from paddlequay.net.caches import Instance, Pool
+
+LOGGER = logging.getLogger(__name__)
+
+
+class Connection:
+    """One connection to an instance, with the attempts that wait for it and those that are out on it."""
+
+    def __init__(self, pool: "Pool", instance: "Instance") -> None:
+        self.pool, self.instance, self.limits = pool, instance, pool.limits
+        family = socket.AF_INET6 if ":" in instance.address[0] else socket.AF_INET
+        self.stream = IOStream(socket.socket(family, socket.SOCK_STREAM))
+        self.reader = wire.Reader(self.limits.cache_line, self.limits.cache_object)
+        self.waiting: deque[Attempt] = deque()
+        self.out: dict[str, Attempt] = {}
+        self.written: OrderedDict[str, None] = OrderedDict()  # ids, the latest `cache_ids` of them
+        self.up = False
+        self.silent = False
+        self.once = False  # all that went out on it must not run twice
+        self.heard = self.used = pool.now()
+        self.read_at = -math.inf  # the last byte, which an accepted connection is not
+
+    def takes(self, attempt: Attempt) -> bool:
+        """Room for it, on a connection that answers.
+
+        An id that was written here never comes again on this connection: an answer to the first attempt may
+        be on its way, late or for the second time, and nothing would tell it from the second's.
+        """
+        if attempt.once and self.up and self.pool.now() - self.used > self.limits.cache_fresh:
+            return False  # a peer may be closing an idle one just now: that is a reset, and may have run
+        if self.load >= self.limits.cache_streams or self.silent or self.stream.closed():
+            return False
+        return attempt.id not in self.written and all(other.id != attempt.id for other in self.waiting)
+
+    @property
+    def load(self) -> int:
+        return len(self.out) + len(self.waiting)
+
+    async def run(self) -> None:
+        """Connect, then read until the end."""
+        try:
+            await asyncio.wait_for(self.stream.connect(self.instance.address), self.limits.connect_timeout)
+        except (TimeoutError, StreamClosedError, OSError) as error:
+            self.pool.counters.add("connect_failed")
+            log.event(LOGGER, logging.INFO, "connect_failed", to=self.instance.name, why=type(error).__name__)
+            self.stream.close()
+            self.instance.forget(self)
+            for attempt in self.take_waiting():
+                self.pool.exchange.end(attempt, End(Outcome.UNREACHED))
+            return
+        self.stream.set_nodelay(True)
+        self.pool.counters.add("connected")
+        self.up = True
+        self.heard = self.pool.now()
+        self.write_waiting()
+        reads = 0
+        try:
+            while True:
+                data = await self.stream.read_bytes(self.limits.read_chunk, partial=True)
+                self.heard = self.read_at = self.pool.now()
+                self.silent = False
+                for answer in self.reader.feed(data):
+                    self.answered(answer)
+                reads += 1
+                if len(data) == self.limits.read_chunk or reads % 4 == 0:
+                    await asyncio.sleep(0)  # a read of what is there does not yield: others have a turn
+        except StreamClosedError:
+            pass
+        except wire.MalformedError as error:
+            if self.pool.counters.add_once("bad_cache_lines"):
+                log.event(LOGGER, logging.WARNING, "bad_cache_line", at=self.instance.name, why=str(error))
+        except Exception:
+            self.pool.counters.add("cache_errors")
+            LOGGER.exception("cache_connection_failed")
+        self.lost()
+
+    def lost(self) -> None:
+        """The connection is over: what is out may have run, what waits has not."""
+        self.stream.close()
+        self.instance.forget(self)
+        out, self.out = list(self.out.values()), {}
+        waiting = self.take_waiting()
+        for attempt in out:
+            self.pool.exchange.end(attempt, End(Outcome.RESET))
+        for attempt in waiting:
+            self.pool.exchange.end(attempt, End(Outcome.UNREACHED))
+
+    def take_waiting(self) -> list[Attempt]:
+        waiting = list(self.waiting)
+        self.waiting.clear()
+        return waiting
+
+    def write_waiting(self) -> None:
+        """Write what waits, one at a time and only while the socket takes it, so that checks are fresh."""
+        while self.up and self.waiting and not self.stream.closed() and not self.stream.writing():
+            attempt = self.waiting.popleft()
+            order = self.pool.exchange.order(attempt)
+            if order is None:
+                continue
+            line = wire.ask(order.id, order_fields(order), len(order.body))
+            self.out[attempt.id] = attempt
+            self.once = attempt.once and (self.once or not self.written)
+            self.written[attempt.id] = None
+            if len(self.written) > self.limits.cache_ids:
+                self.written.popitem(last=False)
+            self.used = self.pool.now()
+            self.pool.exchange.written(attempt)
+            try:
+                done = self.stream.write(b"".join((line, order.body, b"\r\n")))
+            except StreamClosedError:
+                return
+            if self.stream.writing():
+                done.add_done_callback(lambda _: self.write_waiting())
+
+    def answered(self, answer: wire.Answer) -> None:
+        attempt = self.out.get(answer.id)
+        self.used = self.pool.now()
+        if attempt is not None:
+            # Read before it is taken off: what cannot be read ends the connection and all that is out on it,
+            # this attempt too, which else would have waited for its time-out.
+            end = read_end(answer)
+            if end.unchanged and attempt.owner.ask.known is None:
+                raise wire.MalformedError("VALID to a request that named no copy")
+            del self.out[answer.id]
+            if attempt.written is not None:
+                self.instance.answer_took(attempt, self.used - attempt.written)
+            self.pool.counters.add("received_bytes", len(answer.body))
+            self.pool.exchange.end(attempt, end)
+        else:
+            # Given up, answered before, or never asked: whole and well-formed, it harms nothing else. Taken
+            # as a spoilt connection, one such answer ended all good ones that were on their way.
+            self.pool.counters.add("answers_not_asked")
+
+    def abandon(self, attempt: Attempt) -> bool:
+        """Give an attempt up; and has nothing at all come since it was written?"""
+        quiet = attempt.written is not None and self.heard <= attempt.written
+        if self.out.get(attempt.id) is attempt:
+            del self.out[attempt.id]
+            # A machine that vanished leaves its connections open and says nothing on them: one that has
+            # brought no byte since this attempt was written takes nothing new until it does.
+            # Where its client gave less time than an answer may take, its time-out is no word on the machine.
+            now, kind = self.pool.now(), self.pool.exchange.router.kinds.get(attempt.owner.ask.class_name)
+            in_vain = now >= attempt.expires
+            in_vain = in_vain and (kind is None or attempt.expires - attempt.began >= kind.aim)
+            if in_vain and quiet:
+                self.silent = True
+            elif in_vain and attempt.written is not None:
+                # At least so long: leaving out what was given up would make all waits look short in a jam.
+                self.pool.waits.took(attempt.owner.ask.class_name, now - attempt.written)
+            if not self.stream.closed():
+                self.stream.write(wire.quit_(attempt.id))
+        elif attempt in self.waiting:
+            self.waiting.remove(attempt)
+        return quiet
+
+    def unheard(self, heard: float) -> list[Attempt]:
+        """What is out and was written after the byte heard last."""
+        return [each for each in self.out.values() if each.written is not None and each.written >= heard]
+
+    def dead(self, now: float) -> bool:
+        """Whether what is out tells of silence: several written since the last byte, and long ago.
+
+        Left to their time-outs, they were blamed on the sources of their fills, whose limits were cut for it.
+        """
+        if now - self.heard <= self.limits.cache_silence:
+            return False
+        since = self.unheard(self.heard)
+        return len(since) >= self.limits.cache_unheard and self.instance.silence_of(since, now)
+
+    @property
+    def idle(self) -> bool:
+        return self.up and not self.out and not self.waiting
