--- a/paddlequay/__main__.py
+++ b/paddlequay/__main__.py
@@ -16,6 +16,7 @@
 from paddlequay import log
 from paddlequay.config import Address, Config, ConfigError, read_config
 from paddlequay.counters import Counters
+from paddlequay.ending import end
 from paddlequay.exchange import Exchange
 from paddlequay.load import OwnLoad
 from paddlequay.net import door
@@ -239,7 +240,7 @@
         await self.stop.wait()
         if self.sharing is not None:
             self.sharing.leave()
-        await self.end()
+        await end(self.front, self.twin, self.limits)
         for task in tasks:
             task.cancel()
             with contextlib.suppress(asyncio.CancelledError):
@@ -255,37 +256,6 @@
     def background(work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         return asyncio.ensure_future(work)
 
-    async def end(self) -> None:
-        """End once all that was taken is answered.
-
-        Beside a newer process, which takes what is new, connections close at their next quiet moment. Alone,
-        connections keep coming for a while after SIGTERM, and requests on open ones a little longer.
-        """
-        now = asyncio.get_running_loop().time
-        began = now()
-        front, limits = self.front, self.limits
-        front.ending = True
-        log.event(LOGGER, logging.INFO, "ending", open=len(self.exchange.open), replaced=self.twin.replaced)
-        while not self.twin.replaced and now() - began < limits.accept_after_term:
-            await asyncio.sleep(0.01)
-        front.replaced = self.twin.replaced
-        front.close_door()
-        while not self.twin.replaced and now() - began < limits.serve_after_term:
-            await asyncio.sleep(0.01)
-        front.closing = front.giving_way = True
-        while now() - began < limits.drain_longest:
-            front.hurrying = now() - began > limits.drain_refuse
-            front.empty()
-            patient = now() - began < limits.half_longest
-            if not self.exchange.open and all(each.reader.rest and not patient for each in front.sessions):
-                break
-            await asyncio.sleep(0.01)
-        self.exchange.surrender()
-        flushed_by = now() + limits.flush_longest
-        while front.unsent and now() < flushed_by:
-            await asyncio.sleep(0.01)
-        log.event(LOGGER, logging.INFO, "ended", after=now() - began, connections=len(front.sessions))
-
 
 async def serve(config: Config) -> None:
     await Program(config).run()
--- /dev/null
+++ b/paddlequay/ending.py
@@ -0,0 +1,43 @@
+"""The end in order after SIGTERM: all that was taken is answered, then the connections close."""
+
+import asyncio
+import logging
+
+from paddlequay import log
+from paddlequay.config import Limits
+from paddlequay.net.clients import Front
+from paddlequay.net.twin import Twin
+
+LOGGER = logging.getLogger(__name__)
+
+
+async def end(front: Front, twin: Twin, limits: Limits) -> None:
+    """End once all that was taken is answered.
+
+    Beside a newer process, which takes what is new, connections close at their next quiet moment. Alone,
+    connections keep coming for a while after SIGTERM, and requests on open ones a little longer.
+    """
+    now = asyncio.get_running_loop().time
+    began = now()
+    exchange = front.exchange
+    front.ending = True
+    log.event(LOGGER, logging.INFO, "ending", open=len(exchange.open), replaced=twin.replaced)
+    while not twin.replaced and now() - began < limits.accept_after_term:
+        await asyncio.sleep(0.01)
+    front.replaced = twin.replaced
+    front.close_door()
+    while not twin.replaced and now() - began < limits.serve_after_term:
+        await asyncio.sleep(0.01)
+    front.closing = front.giving_way = True
+    while now() - began < limits.drain_longest:
+        front.hurrying = now() - began > limits.drain_refuse
+        front.empty()
+        patient = now() - began < limits.half_longest
+        if not exchange.open and all(each.reader.rest and not patient for each in front.sessions):
+            break
+        await asyncio.sleep(0.01)
+    exchange.surrender()
+    flushed_by = now() + limits.flush_longest
+    while front.unsent and now() < flushed_by:
+        await asyncio.sleep(0.01)
+    log.event(LOGGER, logging.INFO, "ended", after=now() - began, connections=len(front.sessions))
