Ask at each write whether the client is still there

Whether a client has gone was known to the exchange only once its session had read that. A retry decided, or an attempt that waited for its connection written, in the turn of the end of the client's connection was sent on. An open request now carries the question of its front, asked in Exchange.fetch and Exchange.order; a yes ends the request.

--- a/paddlequay/asks.py
+++ b/paddlequay/asks.py
@@ -178,6 +178,7 @@
     reply: Callable[[Reply], None]
     taken: float
     deadline: float
+    gone: Callable[[], bool] | None = None  # whether its client has left, of which nobody may have told yet
     guard: Timer | None = None
     attempts: list[Attempt] = field(default_factory=list)
     note: Note | None = None
--- a/paddlequay/exchange.py
+++ b/paddlequay/exchange.py
@@ -91,8 +91,13 @@
 
     # --- from the front ---
 
-    def ask(self, ask: Ask, reply: Callable[[Reply], None]) -> Open | None:
-        """Take a request; `reply` is called exactly once, unless `withdraw` comes first."""
+    def ask(
+        self, ask: Ask, reply: Callable[[Reply], None], gone: Callable[[], bool] | None = None
+    ) -> Open | None:
+        """Take a request; `reply` is called exactly once, unless `withdraw` comes first.
+
+        `gone` is asked wherever something is about to be sent on, and must not call back.
+        """
         now = self.scheduler.monotonic()
         self.counters.add(f"asked.{ask.class_name}")
         full = self.held + len(ask.body) > self.limits.held_bodies * self.shares.part
@@ -109,7 +114,7 @@
             return None
         self.serials += 1
         left = ask.ttl - self.limits.answer_margin
-        item = Open(f"q{self.serials}", ask, reply, now, now + left)
+        item = Open(f"q{self.serials}", ask, reply, now, now + left, gone)
         if self.watch is not None and (wait := self.watch.asked(item, left)) is not None:
             self.counters.add("refused.fleet_limit")
             reply(Reply(Verdict.REFUSED, retry_in=wait))
@@ -117,19 +122,11 @@
         self.ids.add(ask.id)
         self.held += len(ask.body)
         self.open[item.serial] = item
-        self.deliver(
-            Request(
-                id=item.serial,
-                class_name=ask.class_name,
-                left=left,
-                key=ask.key,
-                part=ask.part,
-                group=ask.group,
-                retry=ask.retry,
-                tenant=ask.tenant,
-                fill=ask.fill,
-            )
+        request = Request(
+            item.serial, ask.class_name, left, ask.key, ask.part, ask.group,
+            tenant=ask.tenant, retry=ask.retry, fill=ask.fill,
         )
+        self.deliver(request)
         if item.serial in self.open:
             # Whatever the decisions do, one final answer goes out before the client gives up.
             item.guard = self.scheduler.later(max(0.0, left) + 0.004, lambda: self.overdue(item))
@@ -142,6 +139,13 @@
             self.forget(item)
             self.deliver(ClientGone(item.serial))
 
+    def left(self, item: Open) -> bool:
+        """Whether its client has gone, which ends the request; asked where it would be sent on."""
+        if item.gone is None or not item.gone():
+            return False
+        self.withdraw(item)
+        return True
+
     def overdue(self, item: Open) -> None:
         if item.serial in self.open:
             self.counters.add("overdue")
@@ -201,7 +205,7 @@
         A decision may be written late, after a connection came up or a socket took bytes again. What held
         when it was made is looked at once more: drains of target and source, purges, and the time left.
         """
-        if attempt.over:
+        if attempt.over or self.left(attempt.owner):
             return None
         item, fetch = attempt.owner, attempt.fetch
         left = attempt.expires - self.scheduler.monotonic()
@@ -340,7 +344,7 @@
 
     def fetch(self, action: Fetch) -> None:
         item = self.open.get(action.request)
-        if item is None:
+        if item is None or self.left(item):
             return
         now = self.scheduler.monotonic()
         expires = item.deadline if not action.timeout else min(item.deadline, now + action.timeout)
