Part what binds at a write from the exchange: no change in what is done

The list, operators' orders and purges, which are told of as they change and asked before each write, are bounds.py's from now on; the exchange asks it and keeps requests and attempts.

--- /dev/null
+++ b/paddlequay/bounds.py
@@ -0,0 +1,65 @@
+"""What binds at the moment of writing: the list, operators' orders and purges, as they stand then."""
+
+import math
+from dataclasses import replace
+
+from paddlequay.asks import Ask, Attempt, Scheduler
+from paddlequay.config import Limits
+from paddlequay.interface import Member, State
+from paddlequay.operation import Operation
+
+
+class Bounds:
+    """Told of each change, and asked before each write. Bounded by the list and by `purge_memory`."""
+
+    def __init__(self, operation: Operation, limits: Limits, scheduler: Scheduler) -> None:
+        self.operation = operation
+        self.limits = limits
+        self.scheduler = scheduler
+        self.members: dict[str, Member] = {}
+        self.purges: dict[tuple[str, int | None], float] = {}
+
+    def listed(self, members: tuple[Member, ...], full: bool) -> None:
+        """The list, or changes to it."""
+        self.operation.saw(member.name for member in members)
+        if full:
+            self.members.clear()
+        for member in members:
+            if member.state is State.GONE:
+                self.members.pop(member.name, None)  # its name never comes again: kept, the table only grows
+            else:
+                self.members[member.name] = member
+
+    def as_ordered(self, member: Member) -> Member:
+        """A member as the decisions see it: what operators leave out drains, whatever the list says."""
+        if member.state is not State.GONE and self.operation.banned(member.name):
+            return replace(member, state=State.DRAINING)
+        return member
+
+    def purged(self, key: int | None, group: int | None, issued: float) -> float:
+        """An object, or without `key` a group, was purged at `issued`, in Unix seconds; gives its age."""
+        place = ("group", group) if key is None else ("key", key)
+        self.purges[place] = max(issued, self.purges.pop(place, -math.inf))
+        now = self.scheduler.unix()
+        for old in [old for old, at in self.purges.items() if now - at > self.limits.purge_memory + 1.0]:
+            del self.purges[old]
+        return max(0.0, now - issued)
+
+    def max_age(self, ask: Ask, decided: float | None) -> float | None:
+        """The age limit that was decided, made narrower by purges that came since; seconds."""
+        now = self.scheduler.unix()
+        at = max(
+            self.purges.get(("key", ask.key), -math.inf), self.purges.get(("group", ask.group), -math.inf)
+        )
+        if now - at > self.limits.purge_memory:
+            return decided
+        return min(math.inf if decided is None else decided, max(0.001, now - at))
+
+    def usable(self, name: str) -> bool:
+        """Whether anything may be sent to a member, or filled from it."""
+        member = self.members.get(name)
+        return member is not None and member.state in (None, State.READY) and not self.operation.banned(name)
+
+    def allow(self, attempt: Attempt) -> bool:
+        """Whether target and source may still be used."""
+        return self.usable(attempt.fetch.target) and self.usable(attempt.fetch.source)
--- a/paddlequay/exchange.py
+++ b/paddlequay/exchange.py
@@ -6,10 +6,8 @@
 """
 
 import logging
-import math
 from collections import deque
 from collections.abc import Callable
-from dataclasses import replace
 
 from paddlequay import log
 from paddlequay.asks import (
@@ -25,6 +23,7 @@
     Verdict,
     Watch,
 )
+from paddlequay.bounds import Bounds
 from paddlequay.config import Limits
 from paddlequay.counters import Counters
 from paddlequay.interface import (
@@ -45,7 +44,6 @@
     Refuse,
     Request,
     SetTimer,
-    State,
     Subscribe,
     Surrender,
     TimerDue,
@@ -81,8 +79,8 @@
         self.open: dict[str, Open] = {}
         self.ids: set[str] = set()
         self.held = 0  # bytes of bodies of open requests
-        self.members: dict[str, Member] = {}
-        self.purges: dict[tuple[str, int | None], float] = {}
+        self.bounds = Bounds(operation, limits, scheduler)
+        self.members = self.bounds.members
         self.serials = 0
         self.queue: deque[Event] = deque()
         self.running = False
@@ -166,36 +164,19 @@
 
     def list_changed(self, members: tuple[Member, ...], full: bool) -> None:
         """The list, or changes to it; holds for all that is not written yet."""
-        self.operation.saw(member.name for member in members)
-        if full:
-            self.members.clear()
-        for member in members:
-            if member.state is State.GONE:
-                self.members.pop(member.name, None)  # its name never comes again: kept, the table only grows
-            else:
-                self.members[member.name] = member
-        self.deliver(MembersChanged(tuple(map(self.as_ordered, members)), full))
-
-    def as_ordered(self, member: Member) -> Member:
-        """A member as the decisions see it: what operators leave out drains, whatever the list says."""
-        if member.state is not State.GONE and self.operation.banned(member.name):
-            return replace(member, state=State.DRAINING)
-        return member
+        self.bounds.listed(members, full)
+        self.deliver(MembersChanged(tuple(map(self.bounds.as_ordered, members)), full))
 
     def ordered(self, name: str) -> None:
         """Operators leave a cache out, or put it back: holds for all that is not written yet."""
         member = self.members.get(name.removeprefix(OUT)) if name.startswith(OUT) else None
         if member is not None:
-            self.deliver(MembersChanged((self.as_ordered(member),)))
+            self.deliver(MembersChanged((self.bounds.as_ordered(member),)))
 
     def purged(self, key: int | None, group: int | None, issued: float) -> None:
         """An object or a group was purged at `issued`, in Unix seconds."""
-        place = ("group", group) if key is None else ("key", key)
-        self.purges[place] = max(issued, self.purges.pop(place, -math.inf))
-        now = self.scheduler.unix()
-        for old in [old for old, at in self.purges.items() if now - at > self.limits.purge_memory + 1.0]:
-            del self.purges[old]
-        self.deliver(Purged(max(0.0, now - issued), group, key))
+        age = self.bounds.purged(key, group, issued)
+        self.deliver(Purged(age, group, key))
 
     # --- from the caches' side ---
 
@@ -209,8 +190,7 @@
             return None
         item, fetch = attempt.owner, attempt.fetch
         left = attempt.expires - self.scheduler.monotonic()
-        names = {fetch.target, fetch.source}
-        if left < self.limits.least_budget or not all(map(self.usable, names)):
+        if left < self.limits.least_budget or not self.bounds.allow(attempt):
             self.counters.add("not_sent")
             self.end(attempt, End(Outcome.NOT_SENT))
             return None
@@ -230,27 +210,13 @@
             budget=left,
             source=None if fetch.source == fetch.target else fetch.source,
             keep=fetch.keep,
-            max_age=self.max_age(ask, fetch.max_age),
+            max_age=self.bounds.max_age(ask, fetch.max_age),
             join=fetch.join,
             only_held=fetch.only_held,
             renew=fetch.renew,
             extra=NOTHING if ask.extra is None else ask.extra(fetch.target),
         )
 
-    def usable(self, name: str) -> bool:
-        member = self.members.get(name)
-        return member is not None and member.state in (None, State.READY) and not self.operation.banned(name)
-
-    def max_age(self, ask: Ask, decided: float | None) -> float | None:
-        """The age limit that was decided, made narrower by purges that came since."""
-        now = self.scheduler.unix()
-        at = max(
-            self.purges.get(("key", ask.key), -math.inf), self.purges.get(("group", ask.group), -math.inf)
-        )
-        if now - at > self.limits.purge_memory:
-            return decided
-        return min(math.inf if decided is None else decided, max(0.001, now - at))
-
     def written(self, attempt: Attempt) -> None:
         attempt.written = self.scheduler.monotonic()
         self.counters.add("sent")
