Pass the key of a keyed request on to the cache, without which it is no client's request

At fault: net/client_words.py read_ask and net/cache_words.py order_fields, which knew no such field.

--- a/paddlequay/asks.py
+++ b/paddlequay/asks.py
@@ -45,6 +45,7 @@
     body: Buffer = b""
     known: str | None = None
     retry: bool = False
+    dedupe: str | None = None  # by which caches tell repeats of a keyed request; passed on as it is
     tenant: str | None = None  # where the front tells it
     fill: int | None = None  # a fill of a node in the hierarchy: its number,
     extra: Callable[[str], Mapping[str, str]] | None = None  # and what it tells a target beside the order
@@ -72,6 +73,7 @@
     part: int | None
     body: Buffer
     known: str | None
+    dedupe: str | None
     budget: float
     source: str | None
     keep: int
--- a/paddlequay/exchange.py
+++ b/paddlequay/exchange.py
@@ -207,6 +207,7 @@
             part=ask.part,
             body=ask.body,
             known=ask.known,
+            dedupe=ask.dedupe,
             budget=left,
             source=None if fetch.source == fetch.target else fetch.source,
             keep=fetch.keep,
--- a/paddlequay/net/cache_words.py
+++ b/paddlequay/net/cache_words.py
@@ -49,6 +49,8 @@
         fields["opts"] = "+".join(word for word, wanted in options.items() if wanted)
     if order.known is not None:
         fields["known"] = order.known
+    if order.dedupe is not None:
+        fields["uniq"] = order.dedupe
     fields.update(order.extra)
     return fields
 
--- a/paddlequay/net/client_words.py
+++ b/paddlequay/net/client_words.py
@@ -11,6 +11,7 @@
 
 HEX = re.compile(r"[0-9a-f]{16}")
 WHOLE = re.compile(r"[0-9]{1,9}")
+DEDUPE = re.compile(r"[!-+\--<>-~]{1,128}")  # what fits into a list of fields for a cache: no comma, no =
 MARK = re.compile(r"[01]")
 
 
@@ -63,5 +64,6 @@
         group=number(fields, "set", limits.group_most),
         body=call.body,
         known=pick(fields, "seen", HEX, False),
+        dedupe=pick(fields, "dedupe", DEDUPE, False),
         retry=pick(fields, "rep", MARK, False) == "1",
     )
