End connections after SIGTERM in an order that resets no answer just written

Seen with deadlines of 0.6 s: what came after all open requests had been given up was still sent on, as drain_refuse (2.6 s) and half_longest (2.5 s) lie behind the end of the time allowed (1.1 s), and was lost when the process went. Up to half a second of waiting for slow readers came after drain_longest, past the kill.

Both times go by the end of the time allowed now, and the end closes each connection in the turn in which all that came is answered: our side is shut, the rest is read to the peer's end and passed over, then it is closed (net/closing.py). A read that the stream has done and the session has not seen yet counts as unread.

Both tests fail without the mend: reset connections, and the late request at the cache.

--- a/paddlequay/ending.py
+++ b/paddlequay/ending.py
@@ -6,16 +6,27 @@
 from paddlequay import log
 from paddlequay.config import Limits
 from paddlequay.net.clients import Front
+from paddlequay.net.closing import Closing, quiet
 from paddlequay.net.twin import Twin
 
 LOGGER = logging.getLogger(__name__)
 
+# Seconds before all that is open is given up, at `limits.drain_longest`, which goes by the longest deadline:
+WAIT_NO_HALF = 1.0  # a message that is not whole is not waited for any more,
+REFUSE = 0.9  # and connections that are never quiet get nothing new done
+# After it, to the end: it may be killed 0.2 s after.
+LAST_WORDS = 0.15
+LINGERS = 0.05  # the least of that for the peers to end their side
+
 
 async def end(front: Front, twin: Twin, limits: Limits) -> None:
     """End once all that was taken is answered.
 
     Beside a newer process, which takes what is new, connections close at their next quiet moment. Alone,
-    connections keep coming for a while after SIGTERM, and requests on open ones a little longer.
+    connections keep coming for a while after SIGTERM, and requests on open ones a little longer. What is read
+    near the end gets a refusal at once, as sent on it would be lost with the process. At last each connection
+    closes in the turn in which all that came is answered, and those that never have one just before the
+    process may be killed.
     """
     now = asyncio.get_running_loop().time
     began = now()
@@ -30,14 +41,22 @@
         await asyncio.sleep(0.01)
     front.closing = front.giving_way = True
     while now() - began < limits.drain_longest:
-        front.hurrying = now() - began > limits.drain_refuse
+        front.hurrying = now() - began > limits.drain_longest - REFUSE
         front.empty()
-        patient = now() - began < limits.half_longest
+        patient = now() - began < limits.drain_longest - WAIT_NO_HALF
         if not exchange.open and all(each.reader.rest and not patient for each in front.sessions):
             break
         await asyncio.sleep(0.01)
+    front.hurrying = True
+    front.empty()
     exchange.surrender()
-    flushed_by = now() + limits.flush_longest
-    while front.unsent and now() < flushed_by:
-        await asyncio.sleep(0.01)
-    log.event(LOGGER, logging.INFO, "ended", after=now() - began, connections=len(front.sessions))
+    over_by = began + max(limits.drain_longest, limits.serve_after_term) + LAST_WORDS
+    closing, left = Closing(), len(front.sessions)
+    while sessions := [each for each in front.sessions if not each.stream.closed()]:
+        last = now() >= over_by - LINGERS
+        for session in sessions:
+            if last or (not session.open and not session.unsent and quiet(session.stream)):
+                closing.close(session.stream)
+        await asyncio.sleep(0 if last else 0.005)
+    await closing.finished(over_by)
+    log.event(LOGGER, logging.INFO, "ended", after=now() - began, connections=left)
