Hold signals until they can be acted on, and give up a take-over at SIGTERM

Seen: SIGHUP or SIGUSR1 while modules or the configuration were read killed the program (exit -1, -10); a SIGHUP after the configuration was read and before its handler stood was passed over, and the old discovery followed for good; once the event loop had closed, a second SIGTERM was an exit by a signal (-15). SIGTERM during a take-over was looked at only once the door was open, up to 2.5 s later: the older process gave way to one that ended.

Signals are blocked from the first line of the program until all have their handlers, and again at its end, so none is lost in between; that needs the router loaded after, in program.py. A take-over is given up at once, with the door never opened, and the older process goes on alone. What the interpreter needs before its first line of ours is left: the kernel's default action holds there.

--- /dev/null
+++ b/paddlequay/program.py
@@ -0,0 +1,284 @@
+"""The real edge router: read the configuration, wire the parts, serve, and end in order."""
+
+import asyncio
+import contextlib
+import gc
+import logging
+import os
+import signal
+import socket
+import sys
+import time
+from collections.abc import Coroutine
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+from paddlequay import log, signals
+from paddlequay.config import Address, Config, ConfigError, read_config
+from paddlequay.counters import Counters
+from paddlequay.ending import end
+from paddlequay.exchange import Exchange
+from paddlequay.load import OwnLoad
+from paddlequay.net import door
+from paddlequay.net.bulletin import Follower
+from paddlequay.net.caches import Pool
+from paddlequay.net.clients import Front
+from paddlequay.net.console import Console
+from paddlequay.net.scheduler import LoopScheduler
+from paddlequay.net.twin import Twin
+from paddlequay.operation import Operation
+from paddlequay.policy import Router
+from paddlequay.protocol import bulletin
+from paddlequay.shares import Held, Shares
+
+if TYPE_CHECKING:
+    from paddlequay.net.members import Members
+    from paddlequay.net.sharing import Sharing
+
+LOGGER = logging.getLogger("paddlequay.main")
+
+
+class Program:
+    """All parts of one router."""
+
+    def __init__(self, config: Config) -> None:
+        loop = asyncio.get_running_loop()
+        self.config = config
+        self.limits = config.limits
+        self.counters = Counters()
+        self.operation = Operation(config.file("json"))
+        try:
+            self.operation.load()
+        except (OSError, ValueError) as error:
+            log.event(LOGGER, logging.WARNING, "bans_unreadable", path=self.operation.path, why=str(error))
+        self.shares = Shares(self.limits)
+        router = Router(config.settings, config.seed)
+        scheduler = LoopScheduler(loop)
+        self.exchange = Exchange(router, self.operation, self.shares, self.limits, scheduler, self.counters)
+        self.pool = Pool(self.exchange, self.shares, self.limits, self.counters)
+        self.follower = Follower(config.bulletin, self.exchange, self.pool, self.limits, self.counters)
+        self.load = OwnLoad(self.limits, config.seed)
+        self.front = Front(self.exchange, self.operation, self.shares, self.limits, self.counters, self.load)
+        self.twin = Twin(config.file("sock"), self.operation, self.shares, self.limits, self.counters)
+        self.twin.knowledge, self.twin.on_knowledge = router.knowledge, self.exchange.inherit
+        self.twin.on_newer, self.twin.on_replaced = self.make_way, self.give_way
+        self.twin.on_alone = self.settle
+        self.console = Console(self.operation, self.front, self.twin, self.limits, self.counters)
+        self.members = self.discovery()
+        self.sharing = self.cluster()
+        try:
+            self.follower.start_from(config.known)
+        except bulletin.MalformedError as error:
+            raise ConfigError(f"known: {error}") from None
+        self.door = self.bind("listen", config.listen)
+        if config.console is not None:
+            self.console.listen(self.bind("console", config.console))
+        self.stop = asyncio.Event()
+        for name in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(name, self.stop.set)
+        loop.add_signal_handler(signal.SIGUSR1, self.counters.print, "asked")
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
+        signals.let_through()
+
+    def discovery(self) -> "Members | None":
+        """Other sources of members than the bulletin, where a settings file of the installation names
+        them."""
+        path = os.environ.get("PADDLEQUAY_DISCOVERY")
+        if not path:
+            return None
+        from paddlequay.net.members import Members
+        from paddlequay.schema.sources import read_discovery
+
+        settings = read_discovery(Path(path))
+        members = Members(settings, self.follower, self.exchange, self.pool, self.counters, self.config.name)
+        self.console.pages["members"] = members.page
+        self.console.queries["members"] = members.explain
+        return members
+
+    def cluster(self) -> "Sharing | None":
+        """What the routers share, where a settings file of the installation says so and peers are allowed."""
+        path = os.environ.get("PADDLEQUAY_CLUSTER")
+        if not path:
+            return None
+        from paddlequay.net.sharing import Sharing
+        from paddlequay.net.sharing_page import page
+        from paddlequay.schema.cluster import read_cluster
+
+        settings = read_cluster(Path(path))
+        if self.config.peering is None:
+            log.event(LOGGER, logging.WARNING, "cluster_off", why="the platform allows or names no peers")
+            return None
+        try:
+            sharing = Sharing(settings, self.config.peering, self.config, self.exchange, self.counters)
+        except ValueError as error:
+            raise ConfigError(f"{path}: {error}") from None
+        self.exchange.watch = sharing
+        self.console.pages["cluster"] = lambda: page(sharing)
+        if sharing.placing is not None:
+            self.console.queries["placement"] = sharing.placing.explain
+        return sharing
+
+    @staticmethod
+    def bind(name: str, address: Address) -> socket.socket:
+        try:
+            return door.bound(address)
+        except OSError as error:
+            raise ConfigError(f"{name}: {address[0]}:{address[1]}: {error.strerror}") from None
+
+    def reload(self) -> None:
+        """Read the configuration anew; of what changes, the bulletin's address can be taken up while serving.
+
+        The signal's default action ended the program, and with it all requests it held.
+        """
+        try:
+            config = read_config(os.environ)
+            if self.members is not None:
+                from paddlequay.schema.sources import read_discovery
+
+                self.members.reload(read_discovery(Path(os.environ["PADDLEQUAY_DISCOVERY"])))
+            if self.sharing is not None and self.sharing.placing is not None:
+                self.sharing.placing.reload()
+        except ConfigError as error:
+            self.counters.add("reloads_refused")
+            return log.event(LOGGER, logging.WARNING, "reload_refused", why=str(error))
+        self.counters.add("reloads")
+        self.follower.move(config.bulletin)
+        host, port = config.bulletin
+        log.event(LOGGER, logging.INFO, "reloaded", bulletin=f"{host}:{port}")
+
+    def give_way(self) -> None:
+        """Beside a newer process that takes clients: keep what there is, and have it become less."""
+        self.front.giving_way = True
+        if self.sharing is not None:
+            self.sharing.give_way()
+        self.twin.give(Held(len(self.front.sessions), len(self.pool.held())))
+
+    def make_way(self) -> None:
+        """Beside a newer process that is not ready yet: leave it half of what is free."""
+        limits, held = self.limits, len(self.front.sessions)
+        caches = (limits.all_cache_connections - limits.own_descriptors) // 2
+        self.twin.give(Held((held + limits.client_connections + 1) // 2, max(4, caches)))
+
+    def settle(self) -> None:
+        """Whether clients' connections are to go. Asked at each beat, and at once where a newer process has
+        died: who connects here until the next beat would be closed on."""
+        self.front.giving_way = self.front.closing or self.twin.replaced
+        self.front.empty()
+        if self.sharing is not None and not self.twin.replaced:
+            self.sharing.come_back()
+
+    async def sweeping(self) -> None:
+        """What is looked at now and then rather than at an event."""
+        printed = time.monotonic()
+        while True:
+            await asyncio.sleep(self.limits.sweep)
+            self.pool.sweep()
+            self.front.sweep()
+            if time.monotonic() - printed >= self.limits.counters_every:
+                printed = time.monotonic()
+                self.counters.print("period")
+
+    async def beating(self) -> None:
+        while True:
+            self.settle()
+            if self.twin.replaced:
+                self.give_way()
+            # After a late beat, what has come is not read yet: no silence can be told from that.
+            if self.load.beat(time.monotonic(), time.process_time()):
+                self.pool.watch()
+            await asyncio.sleep(self.limits.beat)
+
+    async def take_over(self) -> None:
+        """Begin to serve: at once, or beside an older process once this one knows and holds what it needs."""
+        began = time.monotonic()
+        older = await self.twin.find()
+        if older:
+            with contextlib.suppress(TimeoutError):
+                # Where the older one ends before, clients have nobody else.
+                async with asyncio.timeout(self.limits.warm_longest):
+                    await self.either(self.prepare(), self.twin.alone())
+        self.front.listen(self.door)
+        if self.twin.older is not None:
+            door.steer(self.door)
+            self.twin.tell_ready()
+        log.event(LOGGER, logging.INFO, "serving", beside_older=older, after=time.monotonic() - began)
+
+    async def prepare(self) -> None:
+        """Have a connection to each edge cache, and the bulletin's word that nothing is missing."""
+        await self.pool.warm(self.exchange.router.names_of_edges())
+        await self.follower.current.wait()
+
+    async def before_stop(self, work: Coroutine[Any, Any, None]) -> bool:
+        """Whether this was done before the program is to stop; else it is given up. Raises what it raises."""
+        task, stopped = asyncio.ensure_future(work), asyncio.ensure_future(self.stop.wait())
+        try:
+            await asyncio.wait((task, stopped), return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            stopped.cancel()
+            if not task.done():
+                task.cancel()
+        await asyncio.wait((task,))
+        if task.cancelled():
+            return False
+        task.result()
+        return True
+
+    @staticmethod
+    async def either(*work: Coroutine[Any, Any, None]) -> None:
+        """Wait for the first that is done; the others are given up."""
+        tasks = [asyncio.ensure_future(each) for each in work]
+        try:
+            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def run(self) -> None:
+        """Serve until SIGTERM, then end in order."""
+        work = (self.follower.follow(), self.sweeping(), self.beating())
+        tasks = [self.background(each) for each in work]
+        limits = self.limits
+        if self.members is not None:
+            self.members.start()
+        if self.sharing is not None:
+            await self.sharing.start()
+        log.event(LOGGER, logging.INFO, "started", cores=limits.cores, clients=limits.client_connections)
+        if await self.before_stop(self.take_over()):
+            await self.stop.wait()
+        if self.sharing is not None:
+            self.sharing.leave()
+        if self.front.listener is not None:  # else nothing was taken, and an older process goes on alone
+            await end(self.front, self.twin, self.limits)
+        for task in tasks:
+            task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await task
+        if self.members is not None:
+            self.members.stop()
+        if self.sharing is not None:
+            self.sharing.stop()
+        self.twin.close()
+        self.counters.print("exit")
+        signals.hold()  # with the loop their default actions come back, and would end what ends in order
+
+    @staticmethod
+    def background(work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        return asyncio.ensure_future(work)
+
+
+async def serve(config: Config) -> None:
+    await Program(config).run()
+
+
+def route() -> int:
+    """Run the router until its end; the exit code."""
+    log.set_up()
+    # Requests leave no cycles behind, and a full collection walks the decisions' table of objects: be rare.
+    gc.set_threshold(20_000, 20, 50)
+    try:
+        asyncio.run(serve(read_config(os.environ, peers=bool(os.environ.get("PADDLEQUAY_CLUSTER")))))
+    except ConfigError as error:
+        print(f"paddlequay: {error}", file=sys.stderr)
+        return 2
+    return 0
