Let a listener alone for a moment where no descriptor is left

Seen with RLIMIT_NOFILE lowered on the program and clients that fill it: accept raised EMFILE at each turn of the loop, the listener staying readable, with a whole core and a thousand traces a second in the log. The accept handler of the console and of the link between two processes (Tornado's) let the same through.

All three listeners accept by door.on_connection now, which lets one alone for 0.05 s and says so at most every 5 s. What waits keeps its place in the queue and is served once a descriptor is free; what was open is answered. A fault in taking one connection in closes that one.

--- a/paddlequay/net/console.py
+++ b/paddlequay/net/console.py
@@ -8,11 +8,11 @@
 from typing import Protocol
 
 from tornado.iostream import IOStream, StreamClosedError
-from tornado.netutil import add_accept_handler
 
 from paddlequay import log
 from paddlequay.config import Limits
 from paddlequay.counters import Counters
+from paddlequay.net import door
 from paddlequay.operation import DRAIN, OUT, Mark, Operation, TooManyError
 from paddlequay.protocol import console as wire
 
@@ -55,9 +55,9 @@
 
     def listen(self, listener: socket.socket) -> None:
         listener.listen(64)
-        add_accept_handler(listener, self.accepted)
+        door.on_connection(listener, self.accepted, self.limits.console_connections)
 
-    def accepted(self, connection: socket.socket, address: object) -> None:
+    def accepted(self, connection: socket.socket) -> None:
         stream = IOStream(connection, max_buffer_size=2 * self.limits.console_head)
         if self.open >= self.limits.console_connections:
             # Who holds a connection without a whole call makes room for who has just come.
--- a/paddlequay/net/door.py
+++ b/paddlequay/net/door.py
@@ -6,6 +6,7 @@
 """
 
 import ctypes
+import errno
 import logging
 import socket
 import struct
@@ -19,6 +20,8 @@
 LOGGER = logging.getLogger(__name__)
 
 BACKLOG = 1024
+FULL_PAUSE = 0.05  # seconds, as long as a beat: short for who waits, and next to no work
+FAULTS_TOLD = 5.0  # seconds; faults at one listener are told at most this often
 RETURN = struct.Struct("HBBI")  # one instruction of a classic socket filter: code, two jumps, constant
 PROGRAM = struct.Struct("HP")  # how many instructions, and where
 SO_ATTACH_REUSEPORT_CBPF = getattr(socket, "SO_ATTACH_REUSEPORT_CBPF", 51)
@@ -45,8 +48,21 @@
     listener: socket.socket, taken: Callable[[socket.socket], None], most: int
 ) -> Callable[[], None]:
     """Accept at most so many in one turn of the loop: all that wait at once would be descriptors beyond the
-    limit, and what the earliest of them sent would be read after the last has come. Gives how to stop."""
+    limit, and what the earliest of them sent would be read after the last has come. Gives how to stop.
+
+    Where the system gives no descriptor, the listener is let alone for `FULL_PAUSE`: it stays readable, and
+    the loop would do nothing else. What waits keeps its place in the queue.
+    """
     loop = IOLoop.current()
+    resuming: object | None = None
+    told_at = -FAULTS_TOLD
+
+    def tells() -> bool:
+        nonlocal told_at
+        if loop.time() - told_at < FAULTS_TOLD:
+            return False
+        told_at = loop.time()
+        return True
 
     def accept(fd: socket.socket, events: int) -> None:
         for _ in range(most):
@@ -54,10 +70,39 @@
                 connection = listener.accept()[0]
             except (BlockingIOError, ConnectionAbortedError):
                 return
-            taken(connection)
+            except OSError as error:
+                return pause(error)
+            try:
+                taken(connection)
+            except Exception:
+                # One connection's fault harms no other.
+                connection.close()
+                if tells():
+                    LOGGER.exception("connection_not_taken")
+
+    def start() -> None:
+        nonlocal resuming
+        resuming = None
+        loop.add_handler(listener, accept, IOLoop.READ)
+
+    def pause(error: OSError) -> None:
+        nonlocal resuming
+        loop.remove_handler(listener)
+        resuming = loop.call_later(FULL_PAUSE, start)
+        if tells():
+            why = errno.errorcode.get(error.errno or 0, str(error))
+            log.event(LOGGER, logging.WARNING, "accept_paused", why=why)
+
+    def stop() -> None:
+        nonlocal resuming
+        if resuming is None:
+            loop.remove_handler(listener)
+        else:
+            loop.remove_timeout(resuming)
+            resuming = None
 
-    loop.add_handler(listener, accept, IOLoop.READ)
-    return lambda: loop.remove_handler(listener)
+    start()
+    return stop
 
 
 def steer(listener: socket.socket) -> None:
--- a/paddlequay/net/twin.py
+++ b/paddlequay/net/twin.py
@@ -13,11 +13,11 @@
 from typing import Any
 
 from tornado.iostream import IOStream, StreamClosedError
-from tornado.netutil import add_accept_handler
 
 from paddlequay import log
 from paddlequay.config import Limits
 from paddlequay.counters import Counters
+from paddlequay.net import door
 from paddlequay.operation import Mark, Operation
 from paddlequay.protocol import twin as wire
 from paddlequay.shares import Held, Shares
@@ -180,7 +180,7 @@
             return
         self.stop()
         self.listener = listener
-        self.stop_listening = add_accept_handler(listener, self.accepted)
+        self.stop_listening = door.on_connection(listener, self.accepted, most=4)
 
     async def alone(self) -> None:
         """Wait until the older process has ended."""
@@ -193,7 +193,7 @@
             self.listener.close()
             self.stop_listening = self.listener = None
 
-    def accepted(self, connection: socket.socket, address: object) -> None:
+    def accepted(self, connection: socket.socket) -> None:
         if self.newer is not None:
             return connection.close()  # one at a time: that one is found in this one's place by now
         self.newer = Link(self, IOStream(connection))
--- /dev/null
+++ b/tests/crossings/test_descriptors.py
@@ -0,0 +1,76 @@
+"""Descriptors that run out: the door waits for one, and who is served already does not notice."""
+
+import os
+import resource
+import time
+from collections.abc import Iterator
+
+import pytest
+from harness import Client, Platform, platform, until
+
+
+@pytest.fixture
+def p() -> Iterator[Platform]:
+    with platform(limits={"sockets": 300, "memory_mb": 192}) as made:
+        yield made
+
+
+def lower(p: Platform, free: int) -> None:
+    """Leave the router so many descriptors that it does not use yet."""
+    used = len(os.listdir(f"/proc/{p.process.pid}/fd"))
+    resource.prlimit(p.process.pid, resource.RLIMIT_NOFILE, (used + free, used + free))
+
+
+def full(p: Platform) -> None:
+    """Wait until it has met the limit at a door."""
+    said = ("EMFILE", "Too many open files")
+    until(lambda: any(word in line for line in list(p.log) for word in said), "no descriptor is left")
+
+
+def cpu(p: Platform) -> float:
+    """Seconds of CPU that the router has used."""
+    with open(f"/proc/{p.process.pid}/stat") as file:
+        fields = file.read().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def test_a_door_with_no_descriptor_left_waits_and_nobody_else_notices(p: Platform) -> None:
+    """Each turn of the loop tried again and logged its trace, at a full core."""
+    early = p.client()
+    early.ask()
+    connection, words = p.box.line()
+    lower(p, free=4)
+    crowd = [Client(p.address) for _ in range(20)]
+    full(p)
+    before, used, began = len(p.log), cpu(p), time.monotonic()
+    time.sleep(0.5)  # measured over this time
+    assert cpu(p) - used < 0.3 * (time.monotonic() - began) and len(p.log) - before < 10
+    connection.sendall(f"{words[1]} HIT - 1\r\nx\r\n".encode())
+    assert early.answer()[3][0] == b"x"
+    late = crowd.pop()  # it waits in the queue, and has asked there
+    late.ask(call="00000000000000aa", row="00000000000000aa")
+    assert p.box.lines.empty()
+    for each in crowd:
+        each.socket.close()
+    p.box.answer("HIT", "-", b"y")
+    assert late.answer()[3][0] == b"y"
+    assert p.end() == 0
+    assert early.answer() is None  # one answer, and the end
+    assert not any("Traceback" in line for line in p.log)
+
+
+def test_the_console_waits_for_a_descriptor_as_well(p: Platform) -> None:
+    p.ready()
+    early = p.client()
+    lower(p, free=2)
+    crowd = [Client(p.address) for _ in range(5)]
+    full(p)
+    before = len(p.log)
+    late = Client(p.console)
+    late.socket.sendall(b"GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n")
+    time.sleep(0.2)  # measured over this time
+    assert len(p.log) - before < 10
+    for each in crowd:
+        each.socket.close()
+    assert late.socket.recv(100).startswith(b"HTTP/1.1 200")
+    assert early.socket.fileno() >= 0 and p.end() == 0
