End a start with one line for any field that cannot be used, and derive the times of an end

Each field of a whole configuration was dropped, and set to fifteen values that it cannot have. A traceback came from an empty list of classes, an aim or deadline of 0, a count below 0 (only the decisions looked, past the reader), whole numbers beyond a float, infinities under limits, a 'no' of known that is no number, and nesting without end; SIGHUP with such a file left a traceback too. Taken without a word: figures below 0 or not a number, 0 streams on a connection, limits that are no object, two classes of one name, a name that no line to a cache can carry.

Now: figures are finite and from 0 to 1e9, section and name are checked in config.py, and the reader says what the decisions' own check finds. What is not known is passed over; what is missing is not taken for zero.

Limits that stand in for settings: SIGKILL comes 0.7 s after the longest deadline, and the flush of 0.5 s went on past it, with any deadlines; with deadlines under 3 s, new requests were never turned away before the end. All six times of an end now follow from the longest deadline; with 3 s and more, those until the end are the same as before.

--- a/paddlequay/config.py
+++ b/paddlequay/config.py
@@ -1,25 +1,38 @@
 """What the router is told at its start, from environment and JSON file, and the limits that follow."""
 
 import json
+import re
 import tempfile
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, fields
 from pathlib import Path
-from typing import Any
+from typing import Any, TypedDict
 from urllib.parse import quote
 
-from paddlequay.interface import Settings
-from paddlequay.settings import SettingsError, settings_from
+from paddlequay.interface import Ramp, RequestClass, Settings
+from paddlequay.settings import check, settings_from
 
 Address = tuple[str, int]
 
 OWN_DESCRIPTORS = 40  # listeners, console, bulletin, link to the other process, event loop, log
+BESIDE_CONSOLE = 20  # of these, all but the console's calls; some 14 are held, the rest is for reconnects
+MOST = 1e9  # of any figure told: what is beyond is a slip, and would end as an infinity in some mean
+# Of the platform's page, as no setting tells them: SIGKILL comes so long after the longest deadline, which
+# counts as no more than this.
+KILL_AFTER, KILL_DEADLINE_MOST = 0.7, 3.0
+# Words of a line to a cache are apart by spaces, and its fields by commas.
+CLASS_NAME = re.compile(r"[^\s,]+")
 
 
 class ConfigError(ValueError):
     """A configuration that cannot be used, said in one plain line."""
 
 
+def one_line(why: object) -> str:
+    """What another part says of it, as one line of at most 300 characters."""
+    return " ".join(str(why).split())[:300]
+
+
 @dataclass(frozen=True, slots=True)
 class Limits:
     """Every size, count and time of the program outside the decisions; filled once and handed down.
@@ -36,16 +49,16 @@
     client_stall: float = 10.0
     client_silent: float = 2.5  # without a byte, before the first one or inside a message: slow ones move
     moving: float = 0.5  # who has gone on with a message this lately is not closed for who comes
-    client_idle: float = 6.0  # clients themselves close after 4 s
+    client_idle: float = 6.0  # clients themselves close after 4 s, by the platform's page
     client_body: int = 48_000
     client_turned: int = 32  # refusals or errors in a row, after which a connection is read
     client_pause: float = 0.02  # only once in this time
-    ttl_most: float = 1.5  # of the class's deadline; no client waits longer than the deadline
+    ttl_most: float = 1.5  # of the class's deadline; no client waits longer than the deadline, but for a slip
     part_most: int = 65_535
     group_most: int = 255
     open_requests: int = 20000
     held_bodies: int = 24 * 1024 * 1024
-    answer_margin: float = 0.025  # of the time to live: the way from and to the client
+    answer_margin: float = 0.025  # of the time to live: the way from and to the client, told nowhere
     busy_pushback: float = 0.2  # told where the router itself, not the decisions, turns a request away
     accepts: int = 16  # connections taken in one turn of the loop
     client_chunk: int = 4096  # some 25 requests: what waits behind them, purges above all, has its turn
@@ -56,8 +69,8 @@
     shed_step: float = 0.06
     shed_pushback: float = 1.0
     # Caches.
-    connect_timeout: float = 0.4
-    cache_streams: int = 32
+    connect_timeout: float = 0.4  # as the settings tell
+    cache_streams: int = 32  # as the settings tell, up to `cache_ids`: an id that is out is remembered
     cache_connections: int = 8  # to one instance
     cache_fresh: float = 0.1  # idle for longer, a connection takes nothing that must not run twice
     cache_share: int = 4  # requests out on a connection before another is opened
@@ -67,34 +80,40 @@
     instance_unheard: int = 6  # or on all to an instance and nothing heard on any,
     cache_silence: float = 0.5  # with nothing for this long: looked at for silence; fleet/silence.py decides
     cache_usual: float = 0.3  # what an answer is taken to need until answers tell
-    cache_idle: float = 24.0
+    cache_idle: float = 24.0  # the caches close at 30 s, or as the settings tell
     cache_ids: int = 512  # remembered by a connection, so that none comes twice on it
     cache_line: int = 4096
     cache_object: int = 240_000
-    least_budget: float = 0.002  # less time left than this and nothing is written any more
+    # Less time left than this and nothing is written any more: caches are told whole milliseconds.
+    least_budget: float = 0.002
     attempts: int = 6
+    # Caches have dropped older copies by then. A purge and a drain hold for the next write, at once: nothing
+    # here stands in for the time that the settings give for either.
     purge_memory: float = 6.0
     # The bulletin.
     bulletin_line: int = 4 * 1024 * 1024
-    bulletin_silence: float = 2.2  # heartbeats come every second
+    # Heartbeats come every second, and what is out counts as told after 7 s, at every site: these times add
+    # up to less, also where a connection that came up late follows a silence.
+    bulletin_silence: float = 2.2
     bulletin_connect: float = 1.0
     bulletin_pause: float = 0.2
-    # The end.
-    accept_after_term: float = 0.5
-    serve_after_term: float = 0.75
-    drain_accept: float = 0.45  # new connections still come, and are served, for this long after a drain
-    drain_surrender: float = 3.0  # what is open then is given up,
-    drain_close: float = 3.3  # and what is not closed by then is closed: at 4 s none may be left
+    # The end; see `end_times`.
+    accept_after_term: float = 0.5  # connections keep coming for 0.4 s after SIGTERM,
+    serve_after_term: float = 0.75  # and requests on open ones 0.2 s longer
     drain_longest: float = 3.5  # then all that is open is given up
-    drain_refuse: float = 2.6  # connections that are never quiet get nothing new done from here on
-    flush_longest: float = 0.5
+    half_longest: float = 2.5  # a message that is not whole is waited for
+    flush_longest: float = 0.5  # what is answered and not sent yet, after `drain_longest`
+    drain_refuse: float = 2.6  # connections that are never quiet get nothing new done; drains too
+    # A drain by operators, who look at 4 s after it whether any connection is left, whatever the deadlines.
+    drain_accept: float = 0.45  # new connections still come, and are served, for this long
+    drain_surrender: float = 3.0  # what is open then is given up,
+    drain_close: float = 3.3  # and what is not closed by then is closed
     late_comer: float = 0.5  # who has connected this lately and asked nothing yet is about to
     # One process replaces another.
     twin_line: int = 1024 * 1024
     twin_connect: float = 1.0
     confirm_longest: float = 0.6  # the other process obeys an order; the call is owed its answer within 1 s
     warm_longest: float = 2.5  # bulletin and connections of a newer process, whose yes is due within 6 s
-    half_longest: float = 2.5  # at the end, a message that is not whole is waited for
     # The operators' console.
     console_connections: int = 16
     console_head: int = 8 * 1024
@@ -139,67 +158,149 @@
         return self.folder / f"paddlequay-{quote(self.name, safe='')[:60]}.{ending}"
 
 
+def shown(value: object) -> str:
+    """A value that cannot be used, as part of a line."""
+    return repr(value)[:60]
+
+
 def address(text: Any, name: str) -> Address:
     """`host:port` as a pair."""
     host, colon, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
     if not (colon and host and port.isdecimal() and 0 <= int(port) < 65536):
-        raise ConfigError(f"{name}: expected host:port, got {text!r}")
+        raise ConfigError(f"{name}: expected host:port, got {shown(text)}")
     return host, int(port)
 
 
-def positive(data: Mapping[str, Any], path: str, default: float) -> float:
-    """A figure above 0 at a dotted path, or the default where none is told."""
+def section(data: Mapping[str, Any], path: str) -> Mapping[str, Any]:
+    """The object at a dotted path; empty where none is told."""
     where: Any = data
     for step in path.split("."):
-        where = where.get(step) if isinstance(where, Mapping) else None
-    if where is None:
+        where = where.get(step)
+        if where is None:
+            return {}
+        if not isinstance(where, dict):
+            raise ConfigError(f"{path}: expected an object, got {shown(where)}")
+    found: Mapping[str, Any] = where
+    return found
+
+
+def positive(data: Mapping[str, Any], path: str, default: float, least: float = 0.0) -> float:
+    """A figure above 0, at least `least` and at most `MOST`, at a dotted path; the default where none is
+    told."""
+    parent, _, name = path.rpartition(".")
+    value = section(data, parent).get(name)
+    if value is None:
         return default
-    if isinstance(where, bool) or not isinstance(where, int | float) or not where > 0:
-        raise ConfigError(f"{path}: expected a number above 0, got {where!r}")
-    return float(where)
+    number = not isinstance(value, bool) and isinstance(value, int | float)
+    if not (number and 0 < value <= MOST and value >= least):
+        wanted = f"of {least:g} or more" if least else "above 0"
+        raise ConfigError(f"{path}: expected a number {wanted}, got {shown(value)}")
+    return float(value)
+
+
+def sound(settings: Settings) -> Settings:
+    """The settings, where the decisions and the caches' protocol can use them: figures are finite, and 0 or
+    more; classes have each a name of its own, which a line to a cache can carry."""
+    check(settings)
+    names = [kind.name for kind in settings.classes]
+    for place, name in enumerate(names):
+        if not CLASS_NAME.fullmatch(name):
+            raise ConfigError(f"settings: classes: expected a name without space or comma, got {shown(name)}")
+        if name in names[:place]:
+            raise ConfigError(f"settings: classes: {shown(name)} is named twice")
+    records: list[tuple[str, Settings | Ramp | RequestClass]] = [("", settings)]
+    records += [("cold_edge.", settings.cold_edge), ("cold_parent.", settings.cold_parent)]
+    records += [(f"{shown(kind.name)}.", kind) for kind in settings.classes]
+    for path, record in records:
+        for each in fields(record):
+            value = getattr(record, each.name)
+            if isinstance(value, int | float) and not 0 <= value <= MOST:
+                told = f"{path}{each.name}: expected a number from 0 to {MOST:g}, got {shown(value)}"
+                raise ConfigError(f"settings: {told}")
+    return settings
+
+
+class EndTimes(TypedDict):
+    """Those of the limits that follow from when SIGKILL comes."""
+
+    accept_after_term: float
+    serve_after_term: float
+    drain_refuse: float
+    half_longest: float
+    drain_longest: float
+    flush_longest: float
+
+
+def end_times(longest: float) -> EndTimes:
+    """The times of an end after SIGTERM, in seconds, for the longest deadline of all classes.
+
+    All is answered, given up or flushed before SIGKILL comes. With deadlines under 0.3 s it comes while
+    requests still do, and less is waited for.
+    """
+    killed = min(KILL_DEADLINE_MOST, longest) + KILL_AFTER
+    given_up = killed - 0.2
+    served = min(0.75, given_up - 0.05)
+    refused = max(served, min(2.6, given_up - 0.3))
+    return {
+        "accept_after_term": min(0.5, served),
+        "serve_after_term": served,
+        "drain_refuse": refused,
+        "half_longest": min(2.5, refused),
+        "drain_longest": given_up,
+        "flush_longest": 0.15,
+    }
 
 
 def limits_from(data: Mapping[str, Any], settings: Settings) -> Limits:
     """The limits that deployment and settings tell; the rest are the program's own."""
-    sockets = positive(data, "limits.sockets", 1024)
-    memory = positive(data, "limits.memory_mb", 192) * 1024 * 1024
-    wire = data["settings"]
-    keepalive = positive(wire, "limits.keepalive", 30.0)
-    clients = max(1, int(sockets / 3) - 1)
+    # With fewer descriptors than this a third for clients and a connection each to a few caches do not fit.
+    sockets = int(positive(data, "limits.sockets", 1024, least=36))
+    memory = positive(data, "limits.memory_mb", 192, least=1) * 1024 * 1024
+    wire = {"settings": data["settings"]}
+    keepalive = positive(wire, "settings.limits.keepalive", 30.0)
+    clients = int(sockets / 3) - 1
+    own = min(OWN_DESCRIPTORS, sockets - clients - 4)
     mean_aim = sum(kind.aim for kind in settings.classes) / len(settings.classes)
+    longest = max(kind.deadline for kind in settings.classes)
+    own_most = Limits()
     return Limits(
         client_connections=clients,
         # The rest is for what the program needs by itself, and for sockets about to be closed.
-        all_cache_connections=max(4, int(sockets) - clients - OWN_DESCRIPTORS),
+        all_cache_connections=sockets - clients - own,
+        own_descriptors=own,
+        console_connections=min(own_most.console_connections, own - BESIDE_CONSOLE),
         cores=positive(data, "limits.cores", 1.0),
         all_unsent=int(memory / 4),
         client_unsent=int(memory / 8),
         held_bodies=int(memory / 8),
-        open_requests=int(positive(wire, "limits.maxOpen", 20000)),
-        connect_timeout=positive(wire, "limits.dialTimeout", 0.4),
-        cache_streams=int(positive(wire, "limits.streamsPerConn", 32)),
-        cache_idle=0.8 * keepalive,
+        open_requests=int(positive(wire, "settings.limits.maxOpen", 20000, least=1)),
+        # No request waits for a connection for longer.
+        connect_timeout=min(longest, positive(wire, "settings.limits.dialTimeout", 0.4)),
+        cache_streams=min(
+            own_most.cache_ids, int(positive(wire, "settings.limits.streamsPerConn", 32, least=1))
+        ),
+        # Closed here first, before the next sweep: what crosses the caches' own close is reset.
+        cache_idle=max(keepalive / 4, min(0.8 * keepalive, keepalive - 2 * own_most.sweep)),
+        cache_fresh=min(own_most.cache_fresh, keepalive / 4),
         # Of the order of the aims: a deployment of larger objects takes longer for each answer.
         cache_silence=1.1 * mean_aim,
         cache_usual=0.5 * mean_aim,
-        attempts=int(positive(wire, "limits.attemptsCap", 6)),
-        purge_memory=positive(wire, "extra.clearedWithin", 6.0),
-        # It is killed 0.7 s after the longest deadline, which counts as 3 s where it is longer.
-        drain_longest=min(3.0, max(kind.deadline for kind in settings.classes)) + 0.5,
+        attempts=int(positive(wire, "settings.limits.attemptsCap", 6, least=1)),
+        purge_memory=positive(wire, "settings.extra.clearedWithin", 6.0),
+        **end_times(longest),
     )
 
 
 def read_peering(data: Mapping[str, Any]) -> Peering | None:
     """The peers, where the platform names them and the settings allow them; else None."""
-    wire = data["settings"]
-    allowed = wire.get("limits", {}).get("peers") if isinstance(wire.get("limits", {}), dict) else None
-    peers, me = data.get("peers"), wire.get("me")
+    allowed = section(data, "settings.limits").get("peers")
+    peers, me = data.get("peers"), data["settings"].get("me")
     if allowed is not True or peers is None:
         return None
     if not isinstance(peers, list):
-        raise ConfigError(f"peers: expected a list of addresses, got {str(peers)[:60]!r}")
+        raise ConfigError(f"peers: expected a list of addresses, got {shown(peers)}")
     if isinstance(me, bool) or not isinstance(me, int) or not 0 <= me < len(peers):
-        raise ConfigError(f"settings.me: expected a number under {len(peers)}, got {me!r}")
+        raise ConfigError(f"settings.me: expected a number under {len(peers)}, got {shown(me)}")
     to_all = data.get("peers_all")
     return Peering(
         me,
@@ -209,6 +310,37 @@
     )
 
 
+def text(data: Mapping[str, Any], name: str, default: str) -> str:
+    """A text that is not empty, or the default where none is told."""
+    value = data.get(name)
+    if value is None:
+        return default
+    if not (isinstance(value, str) and value):
+        raise ConfigError(f"{name}: expected a text, got {shown(value)}")
+    return value
+
+
+def read_seed(data: Mapping[str, Any]) -> int:
+    """The seed, in hex digits; 0 where none is told."""
+    told = text(data, "seed", "0")
+    try:
+        return int(told, 16)
+    except ValueError:
+        raise ConfigError(f"seed: expected hex digits, got {shown(told)}") from None
+
+
+def read_known(data: Mapping[str, Any]) -> Mapping[str, Any]:
+    """The events so far, not looked into, and the number of the last one."""
+    known = data.get("known")
+    if known is None:
+        return {"no": 0, "items": []}
+    number = known.get("no", 0) if isinstance(known, dict) else None
+    if isinstance(number, bool) or not isinstance(number, int) or not isinstance(known.get("items"), list):
+        raise ConfigError(f"known: expected an object with no and items, got {shown(known)}")
+    found: Mapping[str, Any] = known
+    return found
+
+
 def read_config(environment: Mapping[str, str], peers: bool = False) -> Config:
     """The configuration named by `ROUTER_CONFIG`; `ROUTER_NAME` and `ROUTER_LISTEN` come first where set.
 
@@ -220,28 +352,26 @@
     try:
         with open(path, encoding="utf-8") as file:
             data = json.load(file)
-    except (OSError, ValueError) as error:
-        raise ConfigError(f"{path}: {error}") from None
+    except (OSError, ValueError, RecursionError) as error:
+        raise ConfigError(one_line(f"{path}: {error}")) from None
     if not isinstance(data, dict) or not isinstance(data.get("settings"), dict):
         raise ConfigError(f"{path}: expected a JSON object with settings")
-    known = data.get("known") or {"no": 0, "items": []}
-    if not (isinstance(known, dict) and isinstance(known.get("items"), list)):
-        raise ConfigError("known: expected an object with no and items")
+    for each in ("limits", "settings.limits", "settings.rules", "settings.extra"):
+        section(data, each)
     console = environment.get("ROUTER_CONSOLE") or data.get("console")
     try:
-        settings = settings_from(data["settings"])
-        seed = int(str(data.get("seed") or "0"), 16)
-    except SettingsError as error:
-        raise ConfigError(str(error)) from None
-    except ValueError:
-        raise ConfigError(f"seed: expected hex digits, got {data.get('seed')!r}") from None
+        settings = sound(settings_from(data["settings"]))
+    except ConfigError:
+        raise
+    except (ValueError, OverflowError) as error:
+        raise ConfigError(one_line(f"settings: {str(error).removeprefix('settings: ')}")) from None
     return Config(
-        name=environment.get("ROUTER_NAME") or str(data.get("name", "router")),
+        name=environment.get("ROUTER_NAME") or text(data, "name", "router"),
         listen=address(environment.get("ROUTER_LISTEN") or data.get("listen"), "listen"),
         bulletin=address(data.get("bulletin"), "bulletin"),
-        seed=seed,
+        seed=read_seed(data),
         settings=settings,
-        known=known,
+        known=read_known(data),
         limits=limits_from(data, settings),
         console=None if console is None else address(console, "console"),
         peering=read_peering(data) if peers else None,
--- /dev/null
+++ b/tests/crossings/test_limits_told.py
@@ -0,0 +1,101 @@
+"""Limits that stand in for what settings and deployment tell follow from it, and add up."""
+
+import re
+from pathlib import Path
+from typing import Any
+
+import pytest
+from harness import SETTINGS, platform, until
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from rig_settings import FULL
+
+from paddlequay import config as told
+from paddlequay.config import ConfigError, Limits, end_times, limits_from
+from paddlequay.settings import settings_from
+
+
+@settings(deadline=None, derandomize=True)
+@given(st.floats(0.05, 100.0))
+def test_at_an_end_each_step_comes_in_order_and_the_last_before_sigkill(longest: float) -> None:
+    times, killed = end_times(longest), min(3.0, longest) + 0.7
+    assert times["drain_longest"] + times["flush_longest"] < killed
+    assert 0 < times["accept_after_term"] <= times["serve_after_term"] <= times["drain_refuse"]
+    assert times["half_longest"] <= times["drain_refuse"] < times["drain_longest"]
+    if longest >= 0.21:  # requests still come for 0.6 s, and the platform grants 0.05 s
+        assert times["serve_after_term"] > 0.65
+    if longest >= 0.3:
+        assert (times["accept_after_term"], times["serve_after_term"]) == (0.5, 0.75)
+    # Who has asked before the end is near has all the time that counts, but for what an end itself takes.
+    assert times["drain_longest"] >= min(3.0, longest) + 0.5 - 1e-9
+
+
+@pytest.mark.parametrize("longest", [3.0, 6.0, 10.0])
+def test_with_deadlines_of_three_seconds_and_more_the_end_is_the_longest(longest: float) -> None:
+    times = end_times(longest)
+    assert times["drain_longest"] == pytest.approx(3.5)
+    assert (times["drain_refuse"], times["half_longest"]) == (2.6, 2.5)
+
+
+def limits(**also: Any) -> Limits:
+    """Limits of a deployment; `sockets` is the deployment's, the rest are of the settings."""
+    data = {"limits": {"sockets": also.pop("sockets", 1024)}, "settings": FULL | {"limits": also}}
+    return limits_from(data, settings_from(data["settings"]))
+
+
+@settings(deadline=None, derandomize=True)
+@given(st.integers(36, 100_000))
+def test_descriptors_add_up_to_what_is_allowed(sockets: int) -> None:
+    made = limits(sockets=sockets)
+    assert made.client_connections <= sockets / 3
+    assert made.client_connections + made.all_cache_connections + made.own_descriptors <= sockets
+    assert made.client_connections > 0 and made.all_cache_connections >= 4
+    assert 0 < made.console_connections <= made.own_descriptors - told.BESIDE_CONSOLE
+
+
+@pytest.mark.parametrize("sockets", [0, 5, 35])
+def test_too_few_descriptors_are_refused(sockets: int) -> None:
+    with pytest.raises(ConfigError, match=r"limits\.sockets"):
+        limits(sockets=sockets)
+
+
+@settings(deadline=None, derandomize=True)
+@given(st.floats(0.4, 1000.0))
+def test_idle_connections_are_closed_here_before_their_peers_close_them(keepalive: float) -> None:
+    made = limits(keepalive=keepalive)
+    assert 0 < made.cache_fresh <= made.cache_idle and made.cache_fresh <= 0.1
+    assert made.cache_idle + made.sweep < keepalive
+
+
+@pytest.mark.parametrize(("streams", "used"), [(1, 1), (32, 32), (100_000, 512)])
+def test_no_more_is_out_on_a_connection_than_ids_are_remembered(streams: int, used: int) -> None:
+    assert limits(streamsPerConn=streams).cache_streams == used
+
+
+@pytest.mark.parametrize(("dial", "waits"), [(0.05, 0.05), (0.4, 0.4), (1000, 3.0)])
+def test_no_connection_is_waited_for_beyond_the_longest_deadline(dial: float, waits: float) -> None:
+    assert limits(dialTimeout=dial).connect_timeout == waits
+
+
+def test_what_the_program_holds_by_itself_is_what_is_kept_for_it() -> None:
+    with platform() as p:
+        p.ready()
+        p.bulletin.accepted.get(timeout=5)
+        held = len(list(Path(f"/proc/{p.process.pid}/fd").iterdir()))
+    assert held <= told.BESIDE_CONSOLE
+
+
+def test_an_end_with_short_deadlines_and_a_client_that_reads_nothing_comes_by_itself() -> None:
+    """Answers wait for a client that takes none: what is flushed at the end ends before SIGKILL does it."""
+    longest = 0.5
+    classes = [each | {"deadline": longest, "aim": 0.2} for each in SETTINGS["classes"]]
+    with platform(settings=SETTINGS | {"classes": classes}) as p:
+        client = p.client()
+        for part in range(25):
+            client.ask(slice=str(part), ttl="500")
+            p.box.answer("HIT", "tag=0,minted=1764576000000", b"x" * 240_000)
+        until(lambda: p.counted("answer_bytes") > 20 * 240_000, "most are on their way")
+        assert p.end() == 0
+        found = re.search(r" after=([0-9.]+)", p.logged("event=ended"))
+    # Half of what is left until SIGKILL, and half beyond it, are the machine's that runs this test.
+    assert found is not None and longest + 0.6 < float(found[1]) < longest + 0.7 + 0.2
