Look at a repeat's window and group, and at new starts, when it is written

Whether a keyed request may be repeated was looked at when the repeat was decided (Attempts.may_repeat, Open.same_group); its bytes leave once a connection is up, up to the connect time-out and more later. With a window of 0.3 s that is past its end, and a list that came meanwhile can have moved the member to another zone or cell. What binds now goes with the attempt (Fetch.repeat) and Bounds.allow looks at it as Exchange.order writes; one that may not be written any more never ran, and its request goes elsewhere or is answered at once.

- The window is counted from the decision of the earliest attempt that may have run, which is never later than its write; the margin is the way to the member alone.
- The group is that in which that attempt ran: its entry is kept as it was, not as it is now.
- A member whose zone or cell is not told is of no group (two untold cells counted as the same one), nor is any of a group that is not known.
- A target or source that has started anew since it was chosen is not written to: what was known of it then, above all that it was warm, no longer holds.

--- a/paddlequay/asks.py
+++ b/paddlequay/asks.py
@@ -8,7 +8,7 @@
 from enum import Enum
 from typing import Protocol
 
-from paddlequay.interface import Fetch, Note, Outcome
+from paddlequay.interface import Fetch, Member, Note, Outcome
 
 Buffer = bytes | bytearray | memoryview
 
@@ -163,6 +163,7 @@
     written: float | None = None
     over: bool = False
     once: bool = False  # what may have run is never sent again
+    decided: tuple[Member | None, ...] = ()  # target and source as listed when they were chosen
 
     @property
     def id(self) -> str:
--- a/paddlequay/bounds.py
+++ b/paddlequay/bounds.py
@@ -5,7 +5,7 @@
 
 from paddlequay.asks import Ask, Attempt, Scheduler
 from paddlequay.config import Limits
-from paddlequay.interface import Member, State
+from paddlequay.interface import Fetch, Member, State
 from paddlequay.operation import Operation
 
 
@@ -60,6 +60,21 @@
         member = self.members.get(name)
         return member is not None and member.state in (None, State.READY) and not self.operation.banned(name)
 
-    def allow(self, attempt: Attempt) -> bool:
-        """Whether target and source may still be used."""
-        return self.usable(attempt.fetch.target) and self.usable(attempt.fetch.source)
+    def chosen(self, fetch: Fetch) -> tuple[Member | None, ...]:
+        """Target and source as listed now."""
+        return self.members.get(fetch.target), self.members.get(fetch.source)
+
+    def allow(self, attempt: Attempt, now: float) -> bool:
+        """Whether an attempt may still be written at `now`, in seconds of the decisions' clock.
+
+        Target and source may be used, neither has started anew since they were chosen, and what may run a
+        second time is inside the window and the group of the first.
+        """
+        fetch = attempt.fetch
+        for then, name in zip(attempt.decided, (fetch.target, fetch.source), strict=True):
+            if not self.usable(name):
+                return False
+            if then is not None and (self.members[name].started or 0) > (then.started or 0):
+                return False  # cold and empty now, and chosen as it was before
+        bound = fetch.repeat
+        return bound is None or (now < bound.until and bound.beside(self.members[fetch.target]))
--- a/paddlequay/exchange.py
+++ b/paddlequay/exchange.py
@@ -184,13 +184,15 @@
         """What to write, asked at the moment of writing; None when it must not be written any more.
 
         A decision may be written late, after a connection came up or a socket took bytes again. What held
-        when it was made is looked at once more: drains of target and source, purges, and the time left.
+        when it was made is looked at once more: drains and new starts of target and source, the window and
+        the group of a repeat, purges, and the time left.
         """
         if attempt.over or self.left(attempt.owner):
             return None
         item, fetch = attempt.owner, attempt.fetch
-        left = attempt.expires - self.scheduler.monotonic()
-        if left < self.limits.least_budget or not self.bounds.allow(attempt):
+        now = self.scheduler.monotonic()
+        left = attempt.expires - now
+        if left < self.limits.least_budget or not self.bounds.allow(attempt, now + self.offset):
             self.counters.add("not_sent")
             self.end(attempt, End(Outcome.NOT_SENT))
             return None
@@ -316,6 +318,7 @@
         expires = item.deadline if not action.timeout else min(item.deadline, now + action.timeout)
         attempt = Attempt(item, len(item.attempts), action, now, expires)
         attempt.once = self.router.kinds[item.ask.class_name].effect is not Effect.SAFE
+        attempt.decided = self.bounds.chosen(action)
         item.attempts.append(attempt)
         if len(item.attempts) > self.limits.attempts or expires <= now or self.caches is None:
             return self.end(attempt, End(Outcome.NOT_SENT))
--- a/paddlequay/interface.py
+++ b/paddlequay/interface.py
@@ -249,6 +249,27 @@
 )
 
 
+@dataclass(frozen=True, slots=True)
+class Repeat:
+    """What binds further attempts at a request of which one, at the member `ran`, may have run.
+
+    They are written before `until`, in seconds of the decisions' clock (-inf: never), and at members that
+    drop repeats of it: those of the `group`, "all", or of the zone or cell in which `ran` stood then.
+    """
+
+    until: float
+    group: str | None
+    ran: Member
+
+    def beside(self, member: Member) -> bool:
+        """Whether a member is of the group; one whose place is not told is of no group."""
+        if self.group == "zone":
+            return member.zone is not None and member.zone == self.ran.zone
+        if self.group == "cell":
+            return member.cell is not None and member.cell == self.ran.cell
+        return self.group == "all"
+
+
 @dataclass(frozen=True, slots=True)
 class Fetch:
     """An attempt at `target`; a miss is filled from `source` (the target itself: not at all)."""
@@ -262,6 +283,7 @@
     join: bool = False
     only_held: bool = False
     renew: bool = False
+    repeat: Repeat | None = None  # where an earlier attempt may have run and repeats are not free
 
 
 @dataclass(frozen=True, slots=True)
--- a/paddlequay/policy/attempts.py
+++ b/paddlequay/policy/attempts.py
@@ -2,13 +2,13 @@
 
 import math
 
-from paddlequay.interface import Effect, Fetch, Outcome
+from paddlequay.interface import Effect, Fetch, Outcome, Repeat
 from paddlequay.policy.beliefs import Beliefs
 from paddlequay.records import Attempt, Open, Server, Tier
 
 BUDGET_SHARE = 0.2  # further attempts as a share of first ones, so that a failing tier is not hit harder
 BUDGET_RESERVE = 20.0  # attempts saved up at most: covers the burst when one member dies
-WINDOW_MARGIN_S = 0.1  # a keyed repeat must arrive inside its window, so it is sent earlier than its end
+WINDOW_MARGIN_S = 0.1  # a keyed repeat must arrive inside its window: this is its way to the member
 AGE_LEAST_S = 0.001  # an age limit of 0 would mean the default
 PROVEN_IDLE = (Outcome.REFUSED, Outcome.UNREACHED, Outcome.NOT_SENT, Outcome.MISS)
 
@@ -31,13 +31,15 @@
     def may_repeat(self, item: Open, now: float) -> bool:
         """A further attempt must be within the limits and the class's word on repeats."""
         spent = len(item.attempts) >= (self.know.settings.max_attempts or math.inf)
-        if spent or now >= item.deadline or item.streaming:
-            return False
-        ran = item.may_have_run
-        if ran is None or item.kind.effect is Effect.SAFE:
-            return True
-        window = item.kind.repeat_window or 0.0
-        return item.kind.effect is Effect.KEYED and now < ran.sent + window - WINDOW_MARGIN_S
+        over = spent or now >= item.deadline or item.streaming
+        return not over and (item.repeat is None or now < item.repeat.until)
+
+    def repeat(self, item: Open, target: Server, now: float) -> Repeat | None:
+        """What an attempt sent now binds further ones to while it may have run."""
+        kind, keyed = item.kind, item.kind.effect is Effect.KEYED
+        until = now + (kind.repeat_window or 0.0) - WINDOW_MARGIN_S if keyed else -math.inf
+        bound = Repeat(until, kind.repeat_group if keyed else None, target.entry)
+        return None if kind.effect is Effect.SAFE else bound
 
     def weigh(self, item: Open) -> None:
         """A first attempt adds to the budget of further ones; past it no source is asked again."""
@@ -63,7 +65,8 @@
             self.budget -= 1.0
         held = know.hotness.held(item.seen, know.members.servers, now)
         fills = target is not source and target.entry.name not in held
-        self.begin(item, Attempt(target, source, now, fills))
+        bound = item.repeat  # by an earlier attempt
+        self.begin(item, Attempt(target, source, now, fills, self.repeat(item, target, now)))
         cut_off = item.held_only and fills and source.tier is Tier.PARENT
         for origin in know.members.origins:
             if origin.skipped and source.tier is Tier.PARENT and target is not origin:
@@ -83,6 +86,7 @@
             join=bool(know.settings.joins) and item.cacheable,
             only_held=cut_off or (source is not target and source.tier is Tier.EDGE),
             renew=item.hot and bool(item.kind.fresh),
+            repeat=bound,
         )
 
     def max_age(self, item: Open, old: bool, now: float) -> float | None:
--- a/paddlequay/policy/refusals.py
+++ b/paddlequay/policy/refusals.py
@@ -2,7 +2,7 @@
 
 import random
 
-from paddlequay.interface import Action, Cause, Effect, Fail, Refuse
+from paddlequay.interface import Action, Cause, Fail, Refuse
 from paddlequay.records import Open
 
 COME_BACK_S = (0.05, 0.15)  # at a limit places come free within tens of ms; spread, not to return as one
@@ -10,9 +10,6 @@
 
 def give_up(item: Open, cause: Cause, most: float | None, rng: random.Random) -> Action:
     """A refusal where a repeat is harmless, with a wait of `most` seconds at most if any, else a failure."""
-    kind = item.kind
-    keyed_anywhere = kind.effect is Effect.KEYED and kind.repeat_group == "all"
-    if item.may_have_run is None or kind.effect is Effect.SAFE or keyed_anywhere:
-        wait = rng.uniform(*COME_BACK_S)
-        return Refuse(item.request.id, None if most is None else min(most, wait), cause)
+    if item.repeat is None or item.repeat.group == "all":
+        return Refuse(item.request.id, None if most is None else min(most, rng.uniform(*COME_BACK_S)), cause)
     return Fail(item.request.id)
--- a/paddlequay/records.py
+++ b/paddlequay/records.py
@@ -8,7 +8,7 @@
 from enum import Enum
 
 from paddlequay.fleet.cold import Bucket
-from paddlequay.interface import Effect, Member, Request, RequestClass, State
+from paddlequay.interface import Member, Repeat, Request, RequestClass, State
 
 
 class Tier(Enum):
@@ -74,6 +74,7 @@
     source: Server
     sent: float
     fills: bool
+    repeat: Repeat | None = None  # what binds further ones while this may have run
     over: bool = False
 
 
@@ -118,12 +119,12 @@
 
     def same_group(self, server: Server) -> bool:
         """Whether the server drops repeats of what may have run already, by the class's word."""
-        ran = self.may_have_run
-        if ran is None or self.kind.effect is Effect.SAFE or self.kind.repeat_group == "all":
-            return True
-        if self.kind.repeat_group == "zone":
-            return server.entry.zone == ran.target.entry.zone
-        return server.entry.cell == ran.target.entry.cell
+        return self.repeat is None or self.repeat.beside(server.entry)
+
+    @property
+    def repeat(self) -> Repeat | None:
+        """What binds a further attempt; None while none may have run, and where repeats are free."""
+        return None if self.may_have_run is None else self.may_have_run.repeat
 
     @property
     def waiting(self) -> Attempt | None:
--- /dev/null
+++ b/tests/crossings/test_repeats.py
@@ -0,0 +1,134 @@
+"""What binds a repeat is looked at when it is written: the window's end, and the group as listed then."""
+
+from pathlib import Path
+
+import pytest
+from rig_repeats import Rig, entry, keyed
+
+from paddlequay.asks import Attempt, Verdict
+from paddlequay.interface import Effect, Member, Outcome, RequestClass, State
+
+FEE = RequestClass("fee", 0.5, 2.0, Effect.UNSAFE, uncacheable=True)
+
+
+def lost(rig: Rig, kind: str = "hold") -> Attempt:
+    """A first attempt written and lost with its connection, and the repeat that waits for one."""
+    rig.ask(kind)
+    first = rig.side.write()
+    assert first is not None
+    rig.side.end(first, Outcome.RESET)
+    (again,) = rig.side.waiting
+    return again
+
+
+@pytest.mark.parametrize(("group", "verdict"), [("all", Verdict.REFUSED), ("zone", Verdict.FAILED)])
+def test_a_repeat_whose_connection_comes_up_after_the_window_is_not_written(
+    tmp_path: Path, group: str, verdict: Verdict
+) -> None:
+    rig = Rig(tmp_path, (keyed(group, 0.3),))
+    lost(rig)
+    rig.clock.move(0.35)
+    assert rig.side.write() is None and len(rig.side.writes) == 1
+    assert [reply.verdict for reply in rig.replies["a"]] == [verdict], "answered at once"
+    assert not rig.exchange.open and not rig.side.waiting
+
+
+def test_a_repeat_whose_connection_comes_up_inside_the_window_is_written(tmp_path: Path) -> None:
+    rig = Rig(tmp_path, (keyed("all", 0.3),))
+    lost(rig)
+    rig.clock.move(0.15)
+    assert rig.side.write() is not None
+
+
+def test_the_window_is_counted_from_the_earliest_of_several_that_may_have_run(tmp_path: Path) -> None:
+    rig = Rig(tmp_path, (keyed("all", 0.5),))
+    lost(rig)
+    rig.clock.move(0.3)
+    second = rig.side.write()
+    assert second is not None
+    rig.side.end(second, Outcome.ERROR)
+    rig.clock.move(0.15)  # 0.15 s after the second, 0.45 s after the first
+    assert rig.side.write() is None
+    assert [reply.verdict for reply in rig.replies["a"]] == [Verdict.REFUSED]
+
+
+def test_what_never_ran_binds_no_window(tmp_path: Path) -> None:
+    rig = Rig(tmp_path, (keyed("all", 0.3),))
+    rig.ask("hold")
+    rig.side.end(rig.side.waiting[0], Outcome.UNREACHED)
+    rig.clock.move(0.4)
+    assert rig.side.write() is not None
+
+
+@pytest.mark.parametrize(
+    ("group", "moved"), [("zone", {"zone": "there"}), ("cell", {"cell": 9}), ("cell", {"cell": None})]
+)
+def test_a_repeat_is_not_written_to_a_member_that_has_left_the_group_since(
+    tmp_path: Path, group: str, moved: dict[str, object]
+) -> None:
+    rig = Rig(tmp_path, (keyed(group, 1.0),))
+    again = lost(rig)
+    name = again.fetch.target
+    now: dict[str, object] = {"zone": "here", "cell": rig.exchange.members[name].cell} | moved
+    rig.exchange.list_changed((entry(name, **now),), False)  # type: ignore[arg-type]
+    assert rig.side.write(again) is None
+    assert all(write.attempt.fetch.target != name for write in rig.side.writes)
+
+
+def test_the_group_is_that_in_which_the_first_attempt_ran(tmp_path: Path) -> None:
+    """The first one's own entry has moved since: its new neighbours have not seen the key."""
+    rig = Rig(tmp_path, (keyed("zone", 1.0),))
+    rig.ask("hold")
+    first = rig.side.write()
+    assert first is not None
+    rig.exchange.list_changed((entry(first.fetch.target, "there", 0),), False)
+    rig.side.end(first, Outcome.RESET)
+    (again,) = rig.side.waiting
+    assert rig.exchange.members[again.fetch.target].zone == "here"
+    assert rig.side.write() is again
+
+
+def test_members_whose_place_is_not_told_are_of_no_group(tmp_path: Path) -> None:
+    members = (Member("box-0", None, "box"), Member("box-1", None, "box"), entry("o", "hub", None, "origin"))
+    for group in ("zone", "cell", None):
+        rig = Rig(tmp_path, (keyed(group, 1.0),), members=members)
+        rig.ask("hold")
+        first = rig.side.write()
+        assert first is not None
+        rig.side.end(first, Outcome.RESET)
+        assert not rig.side.waiting and [reply.verdict for reply in rig.replies["a"]] == [Verdict.FAILED]
+
+
+@pytest.mark.parametrize("kind", ["fee", "hold", "page"])
+@pytest.mark.parametrize("part", ["target", "source"])
+def test_nothing_is_written_to_or_filled_from_a_member_that_started_anew_since_it_was_chosen(
+    tmp_path: Path, kind: str, part: str
+) -> None:
+    page = RequestClass("page", 0.5, 2.0, Effect.SAFE)
+    rig = Rig(tmp_path, (keyed("all"), FEE, page))
+    rig.ask(kind)
+    (waits,) = rig.side.waiting
+    name = getattr(waits.fetch, part)
+    old = rig.exchange.members[name]
+    rig.exchange.list_changed((entry(name, old.zone, old.cell, old.kind or "", started=1_000_011.0),), False)
+    assert waits.over or rig.side.write(waits) is None  # where repeats are free it has been recalled already
+    assert not rig.side.writes
+    assert rig.side.waiting or rig.replies["a"], "goes on elsewhere, or is answered at once"
+
+
+def test_a_non_idempotent_request_is_not_written_again_when_its_member_starts_anew(tmp_path: Path) -> None:
+    rig = Rig(tmp_path, (FEE,), direct=True)
+    rig.ask("fee")
+    first = rig.side.write()
+    assert first is not None
+    rig.exchange.list_changed((entry("origin-0", "hub", None, "origin", started=1_000_011.0),), False)
+    rig.side.end(first, Outcome.RESET)
+    assert not rig.side.waiting and [reply.verdict for reply in rig.replies["a"]] == [Verdict.FAILED]
+
+
+def test_a_drain_and_a_return_while_an_attempt_waits_is_no_other_run(tmp_path: Path) -> None:
+    rig = Rig(tmp_path, (FEE,), direct=True)
+    rig.ask("fee")
+    for state in (State.DRAINING, State.READY):
+        rig.exchange.list_changed((entry("origin-0", "hub", None, "origin", state=state),), False)
+    assert rig.side.write() is not None
