Let what fails while one action is carried out be that action's alone

One try stood round a decision and all its actions (Exchange.deliver): when the first raised, the rest were lost, and an event may concern many requests, as when a member leaves. An error in a client's reply came up through Exchange.end into the reading of the cache's connection, which then ended with all that was out on it, and the decisions were never told of the attempt's end, so that its share of the limits was held for good.

- Each action is carried out for itself; one that fails ends its own request.
- A start that fails, such as for want of a descriptor, ends its attempt: never written, it is proved idle and the request goes on elsewhere, a non-idempotent one too.
- A reply, or a carrier that fails to forget an attempt, changes nothing for the rest.
Each kind is counted and its first is logged.

--- a/paddlequay/exchange.py
+++ b/paddlequay/exchange.py
@@ -269,19 +269,29 @@
             while self.queue:
                 event = self.queue.popleft()
                 try:
-                    for action in self.router.handle(event, self.scheduler.monotonic() + self.offset):
-                        self.carry_out(action)
+                    actions = self.router.handle(event, self.scheduler.monotonic() + self.offset)
                 except Exception:
-                    # One request's failure never stops the program: it is answered, the others go on.
-                    if self.counters.add_once("decision_errors"):
-                        LOGGER.exception("decision_failed", extra={"fields": {"on": type(event).__name__}})
-                    self.abort(event)
+                    self.failed("decision", event)
+                    self.abort(event.id if isinstance(event, Request) else getattr(event, "request", ""))
+                    continue
+                for action in actions:
+                    # Each for itself: one event may concern many requests, as when a member leaves.
+                    try:
+                        self.carry_out(action)
+                    except Exception:
+                        self.failed("action", action)
+                        self.abort(getattr(action, "request", ""))
         finally:
             self.running = False
 
-    def abort(self, event: Event) -> None:
-        name = event.id if isinstance(event, Request) else getattr(event, "request", None)
-        item = self.open.get(name) if name else None
+    def failed(self, what: str, on: object) -> None:
+        """An error that is one request's own and never stops the program; the first of a kind is logged."""
+        if self.counters.add_once(f"{what}_errors"):
+            LOGGER.exception(f"{what}_failed", extra={"fields": {"on": type(on).__name__}})
+
+    def abort(self, serial: str) -> None:
+        """Answer a request for which something failed, and give up what is out for it."""
+        item = self.open.get(serial)
         if item is not None:
             self.finish(item, Reply(Verdict.FAILED))
             self.queue.append(ClientGone(item.serial))
@@ -323,7 +333,11 @@
         if len(item.attempts) > self.limits.attempts or expires <= now or self.caches is None:
             return self.end(attempt, End(Outcome.NOT_SENT))
         attempt.timer = self.scheduler.later(expires - now, lambda: self.expire(attempt))
-        self.caches.start(attempt)
+        try:
+            self.caches.start(attempt)
+        except Exception:
+            self.failed("start", attempt)  # such as no descriptor left for its connection
+            self.take_back(attempt)
 
     def expire(self, attempt: Attempt) -> None:
         """Out of time: proved idle where it was never written, else it may have run."""
@@ -336,19 +350,30 @@
         item = self.open.get(action.request)
         if item is None or action.attempt >= len(item.attempts) or item.attempts[action.attempt].over:
             return
-        attempt = item.attempts[action.attempt]
+        self.take_back(item.attempts[action.attempt])
+
+    def take_back(self, attempt: Attempt) -> None:
+        """Give up an attempt by our own will: proved idle where it was never written."""
         ran = attempt.written is not None
         self.drop(attempt)
         self.end(attempt, End(Outcome.CANCELLED if ran else Outcome.NOT_SENT))
 
     def drop(self, attempt: Attempt) -> bool:
-        return attempt.carrier is not None and attempt.carrier.abandon(attempt)
+        """Have its carrier forget it, and was that silent since? Its end here does not hang on that."""
+        try:
+            return attempt.carrier is not None and attempt.carrier.abandon(attempt)
+        except Exception:
+            self.failed("abandon", attempt)
+            return False
 
     def finish(self, item: Open, reply: Reply) -> None:
         """The one final answer."""
         self.forget(item)
         self.counters.add(f"answered.{reply.verdict.value}")
-        item.reply(reply)
+        try:
+            item.reply(reply)
+        except Exception:
+            self.failed("reply", reply)  # its client's affair: the decisions hear of the end all the same
 
     def forget(self, item: Open) -> None:
         """The request is over; attempts that are still out are given up."""
--- a/tests/crossings/rig_repeats.py
+++ b/tests/crossings/rig_repeats.py
@@ -163,3 +163,7 @@
 
 def keyed(group: str | None, window: float | None = 0.3) -> RequestClass:
     return RequestClass("hold", 0.5, DEADLINE, Effect.KEYED, None, None, group, window, uncacheable=True)
+
+
+PAGE = RequestClass("page", 0.5, DEADLINE, Effect.SAFE)
+FEE = RequestClass("fee", 0.5, DEADLINE, Effect.UNSAFE, uncacheable=True)
--- a/tests/crossings/test_repeats.py
+++ b/tests/crossings/test_repeats.py
@@ -3,12 +3,10 @@
 from pathlib import Path
 
 import pytest
-from rig_repeats import Rig, entry, keyed
+from rig_repeats import FEE, PAGE, Rig, entry, keyed
 
 from paddlequay.asks import Attempt, Verdict
-from paddlequay.interface import Effect, Member, Outcome, RequestClass, State
-
-FEE = RequestClass("fee", 0.5, 2.0, Effect.UNSAFE, uncacheable=True)
+from paddlequay.interface import Member, Outcome, State
 
 
 def lost(rig: Rig, kind: str = "hold") -> Attempt:
@@ -104,8 +102,7 @@
 def test_nothing_is_written_to_or_filled_from_a_member_that_started_anew_since_it_was_chosen(
     tmp_path: Path, kind: str, part: str
 ) -> None:
-    page = RequestClass("page", 0.5, 2.0, Effect.SAFE)
-    rig = Rig(tmp_path, (keyed("all"), FEE, page))
+    rig = Rig(tmp_path, (keyed("all"), FEE, PAGE))
     rig.ask(kind)
     (waits,) = rig.side.waiting
     name = getattr(waits.fetch, part)
