Follow the list by whole words, over watches that stand in for one another

Seen, by tests that force each crossing on sockets: - With all descriptors taken, the one that came free as discovery went was taken by a waiting client; `LineFollower.follow` made its socket outside its `try`, and the task ended for good. No list, no purge after. - The silence was timed from any byte: half a line, byte by byte, kept a dead watch for ever. - 2.2 s of silence, 1.0 s to connect and 0.2 s of pause added up: a silent watch, one late and silent, one dropped and one with a heartbeat ahead came to more than the 7 s after which all counts as told. - `apply` set `last` before an event was in force: one that failed was never asked for again. A line that could not be read ended each connection, five times a second, and what stood behind it never came; nested JSON (RecursionError) and whole numbers past all bounds (OverflowError) took the same way. - One unusable entry of a list lost all others of its event, drains too. A number that was skipped was lost.

Entries that cannot be used are passed over one by one; one that ends a member's service binds by its id. Host names are not taken: looking one up would hold the loop.

--- a/paddlequay/net/bulletin.py
+++ b/paddlequay/net/bulletin.py
@@ -1,20 +1,28 @@
-"""The connection to the bulletin: one at a time, made anew whenever it falls silent."""
+"""The connection to the bulletin: members and purges, put in force in their order."""
 
+import logging
 from collections.abc import Callable, Iterable, Mapping
+from dataclasses import replace
 from typing import Any
 
+from paddlequay import log
 from paddlequay.config import Address, Limits
 from paddlequay.counters import Counters
 from paddlequay.exchange import Exchange
+from paddlequay.interface import State
 from paddlequay.net.caches import Pool
 from paddlequay.net.lines import Line, LineFollower
 from paddlequay.protocol import bulletin as wire
-from paddlequay.protocol.bulletin import Roster
+from paddlequay.protocol.bulletin import Heartbeat, Listed, Recall, Roster, Unusable
 
+LOGGER = logging.getLogger(__name__)
 
-class Follower(LineFollower[wire.News]):
+
+class Follower(LineFollower[Roster | Recall]):
     """Keeps exchange and pool up to date with the bulletin."""
 
+    gapless = True
+
     def __init__(
         self, address: Address, exchange: Exchange, pool: Pool, limits: Limits, counters: Counters
     ) -> None:
@@ -23,35 +31,46 @@
         self.on_roster: Callable[[Roster], None] = self.direct
         self.on_alive: Callable[[], None] = lambda: None
 
-    def reader(self) -> Line[wire.News]:
+    def reader(self) -> Line[Roster | Recall | Heartbeat | Unusable]:
         return wire.Reader(self.limits.bulletin_line)
 
     def start_from(self, known: Mapping[str, Any]) -> None:
-        """The events that stand in the configuration."""
-        self.apply(wire.read_news(item) for item in known["items"])
-        self.last = max(self.last, int(known.get("no", 0)))
-
-    def apply(self, news: Iterable[wire.News]) -> None:
-        """Take in events in their order; what has been had already is passed over."""
-        for item in news:
-            if isinstance(item, wire.Heartbeat):
-                if item.number > self.last:
-                    raise wire.MalformedError(f"{item.number} events are out, {self.last} came")
-                self.on_alive()
-                self.current.set()
-                continue
-            if item.number <= self.last:
-                continue
-            self.last = item.number
-            if isinstance(item, wire.Roster):
-                self.counters.add("rosters")
-                self.on_roster(item)
-            else:
-                self.counters.add("purges")
-                self.exchange.purged(item.key, item.group, item.issued)
+        """The events that stand in the configuration; MalformedError where these cannot be used."""
+        number = known.get("no", 0)
+        if not wire.is_number(number):
+            raise wire.MalformedError(f"no: expected a number, got {str(number)[:40]!r}")
+        for item in known["items"]:
+            news = wire.read_news(item)
+            if not isinstance(news, Heartbeat) and news.number > self.last:
+                self.take(news)
+                self.last = news.number
+        self.last = max(self.last, number)
+
+    def heartbeat(self, number: int) -> None:
+        self.on_alive()
+
+    def take(self, event: Roster | Recall) -> None:
+        if isinstance(event, Recall):
+            self.exchange.purged(event.key, event.group, event.issued)
+            self.counters.add("purges")
+            return
+        if event.unusable:
+            if self.counters.add_once("unusable_entries"):
+                log.event(LOGGER, logging.WARNING, "unusable_entry", number=event.number, why=event.why)
+            self.counters.add("unusable_entries", event.unusable - 1)
+        self.on_roster(event)
+        self.counters.add("rosters")
 
     def direct(self, item: Roster) -> None:
         """The list alone tells the members. The pool first: a decision that follows may send to whom it
         names."""
-        self.pool.list_changed(item.listed, item.full)
-        self.exchange.list_changed(tuple(entry.member for entry in item.listed), item.full)
+        listed = (*item.listed, *self.drained(item.drained))
+        self.pool.list_changed(listed, item.full)
+        self.exchange.list_changed(tuple(entry.member for entry in listed), item.full)
+
+    def drained(self, names: Iterable[str]) -> Iterable[Listed]:
+        """Members as they are known, but out of service."""
+        for name in names:
+            member, instance = self.exchange.members.get(name), self.pool.instances.get(name)
+            if member is not None and instance is not None:
+                yield Listed(replace(member, state=State.DRAINING), instance.address)
--- a/paddlequay/net/feed.py
+++ b/paddlequay/net/feed.py
@@ -1,23 +1,22 @@
 """The connection to the feed of shapes, made anew whenever it falls silent, breaks or goes back."""
 
 import logging
-from collections.abc import Callable, Iterable
-
-from tornado.iostream import IOStream
+from collections.abc import Callable
 
 from paddlequay import log
 from paddlequay.config import Address, Limits
 from paddlequay.counters import Counters
 from paddlequay.hierarchy.shape import Shape, ShapeLimits, Shaper, Took
-from paddlequay.net.lines import Line, LineFollower
+from paddlequay.net.lines import PAUSE, Line, LineFollower
 from paddlequay.protocol import bulletin, feed
+from paddlequay.protocol.bulletin import Heartbeat, Unusable
 
 LOGGER = logging.getLogger(__name__)
 
 WHOLE_PAUSE = 5.0  # the feed is asked for everything at most this often
 
 
-class Feed(LineFollower[feed.Shaped | bulletin.News]):
+class Feed(LineFollower[feed.Shaped | bulletin.Roster | bulletin.Recall]):
     """Keeps a node's shape up to date, and tells it of purges."""
 
     def __init__(
@@ -36,9 +35,9 @@
         self.whole_at = -WHOLE_PAUSE
         # What a feed tells from its beginning, until all of it has come: beside the shape that stands.
         self.beside: Shaper | None = None
-        self.begin()
+        self.begin_anew()
 
-    def begin(self) -> None:
+    def begin_anew(self) -> None:
         """Ask the feed from its beginning.
 
         Its versions may be lower than the one that stands, which was kept from another feed or from before
@@ -46,34 +45,33 @@
         turn, and those lower than the one kept be passed over: a tier then held on to addresses long gone.
         """
         self.last = 0
+        self.asks = False
         self.beside = Shaper(self.shape_limits) if self.shaper.shape.version else None
 
-    def reader(self) -> Line[feed.Shaped | bulletin.News]:
+    def reader(self) -> Line[feed.Shaped | bulletin.Roster | bulletin.Recall | Heartbeat | Unusable]:
         return feed.Reader(self.limits.bulletin_line, self.shape_limits)
 
-    def apply(self, news: Iterable[feed.Shaped | bulletin.News]) -> None:
-        """Take in events. A feed whose numbers go back has begun anew: it is asked for everything."""
-        for item in news:
-            if isinstance(item, bulletin.Heartbeat):
-                if item.number < self.last:
-                    self.counters.add("feed_went_back")
-                    log.event(LOGGER, logging.WARNING, "feed_went_back", had=self.last, tells=item.number)
-                    self.begin()
-                    self.again()
-                    return
-                if item.number > self.last:
-                    raise bulletin.MalformedError(f"{item.number} events are out, {self.last} came")
-                self.adopt()
-                self.current.set()
-                continue
-            if item.number <= self.last:
-                continue
-            self.last = item.number
-            if isinstance(item, feed.Shaped):
-                self.shaped(item)
-            elif isinstance(item, bulletin.Recall):
-                self.counters.add("purges")
-                self.on_purge(item)
+    def apply(self, news: feed.Shaped | bulletin.Roster | bulletin.Recall | Heartbeat | Unusable) -> None:
+        """Take in one line's news. A feed whose numbers go back has begun anew: asked for everything."""
+        if isinstance(news, Heartbeat) and news.number < self.last:
+            self.counters.add("feed_went_back")
+            log.event(LOGGER, logging.WARNING, "feed_went_back", had=self.last, tells=news.number)
+            self.asks = True
+        else:
+            super().apply(news)
+        if self.asks:
+            self.begin_anew()
+            self.anew(PAUSE)
+
+    def heartbeat(self, number: int) -> None:
+        self.adopt()
+
+    def take(self, event: feed.Shaped | bulletin.Roster | bulletin.Recall) -> None:
+        if isinstance(event, feed.Shaped):
+            self.shaped(event)
+        elif isinstance(event, bulletin.Recall):
+            self.counters.add("purges")
+            self.on_purge(event)
 
     def adopt(self) -> None:
         """All that the feed has told from its beginning has come: act on that."""
@@ -108,12 +106,5 @@
     def ask_for_all(self) -> None:
         if self.now() - self.whole_at >= WHOLE_PAUSE:
             self.whole_at = self.now()
-            self.begin()
             self.counters.add("feed_asked_for_all")
-            self.again()
-
-    def again(self) -> None:
-        """End this connection: the next one asks from the number that stands now."""
-        stream: IOStream | None = self.stream
-        if stream is not None:
-            stream.close()
+            self.asks = True  # once this event is had
--- a/paddlequay/protocol/bulletin.py
+++ b/paddlequay/protocol/bulletin.py
@@ -1,17 +1,23 @@
 """The bulletin: numbered lines of JSON in, `after N` out. Knows no socket."""
 
+import ipaddress
 import json
-from collections.abc import Iterator, Mapping
+import re
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, TypeVar
 
 from paddlequay.interface import Member, State
 
 STATES = {"in_service": State.READY, "terminating": State.DRAINING, "terminated": State.GONE}
+NUMBER_MOST = 1 << 53  # JSON's whole numbers; one past all that follow would have these taken as had
+ID = re.compile(r"[!-+\--~]{1,200}")  # it is written to caches as a field's value: no space, no comma
+
+T = TypeVar("T")
 
 
 class MalformedError(ValueError):
-    """A line that is neither an event nor a heartbeat."""
+    """A line that is neither an event nor a heartbeat, or one that cannot follow what came before."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,11 +30,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Roster:
-    """News of the list."""
+    """News of the list, at most one entry of an id: its last.
+
+    `drained`: ids that are told not to be in service by an entry that cannot be used else. `unusable`: how
+    many entries cannot be used, with the reason of the last.
+    """
 
     number: int
     full: bool
     listed: tuple[Listed, ...]
+    drained: tuple[str, ...] = ()
+    unusable: int = 0
+    why: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,6 +61,14 @@
     number: int
 
 
+@dataclass(frozen=True, slots=True)
+class Unusable:
+    """A line that says nothing here; `number` where it is an event that can be told by its number."""
+
+    number: int | None
+    why: str
+
+
 News = Roster | Recall | Heartbeat
 
 
@@ -55,75 +76,178 @@
     return f"after {number}\n".encode()
 
 
-def read_listed(item: Mapping[str, Any]) -> Listed:
-    state = STATES[item["lifecycle"]]
-    # What has gone needs no address any more.
-    at = item.get("hostPort", ":0") if state is State.GONE else item["hostPort"]
-    host, _, port = at.rpartition(":")
-    started = item.get("startedAtMs") or 0
-    weight = item.get("weight")
+def is_number(value: Any) -> bool:
+    return isinstance(value, int) and not isinstance(value, bool) and 0 <= value < NUMBER_MOST
+
+
+def number_of(item: Any) -> int | None:
+    """An event's number, if it has one that can be used."""
+    number = item.get("no") if isinstance(item, dict) else None
+    return number if is_number(number) else None
+
+
+def figure(value: Any, name: str) -> float:
+    """A number that is neither negative nor past all that is meant (nor NaN)."""
+    if isinstance(value, bool) or not isinstance(value, int | float) or not 0 <= value < NUMBER_MOST:
+        raise MalformedError(f"{name}: expected a number, got {str(value)[:40]!r}")
+    return float(value)
+
+
+def optional(item: Mapping[str, Any], name: str, kind: type[T]) -> T | None:
+    value = item.get(name)
+    if value is not None and (not isinstance(value, kind) or isinstance(value, bool)):
+        raise MalformedError(f"{name}: expected {kind.__name__}, got {str(value)[:40]!r}")
+    return value
+
+
+def read_id(item: Mapping[str, Any]) -> str:
+    name = item.get("instanceId")
+    if not isinstance(name, str) or not ID.fullmatch(name):
+        raise MalformedError(f"instanceId: cannot be used: {str(name)[:40]!r}")
+    return name
+
+
+def read_address(at: Any) -> tuple[str, int]:
+    """An IPv4 address and a port. No host's name: to look one up would hold up the program."""
+    host, _, port = at.rpartition(":") if isinstance(at, str) else ("", "", "")
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        port = ""
+    if not (port.isascii() and port.isdecimal() and 0 < int(port[:6]) < 65536):
+        raise MalformedError(f"hostPort: expected an address and a port, got {str(at)[:60]!r}")
+    return host, int(port)
+
+
+def read_listed(item: Any) -> Listed:
+    if not isinstance(item, dict):
+        raise MalformedError(f"an entry that is no object: {str(item)[:40]}")
+    name, word = read_id(item), item.get("lifecycle")
+    state = STATES.get(word) if isinstance(word, str) else None
+    if state is None:
+        raise MalformedError(f"lifecycle: {str(word)[:40]!r} is not known")
+    if state is State.GONE:
+        return Listed(Member(name=name, state=state), ("", 0))  # what has gone needs nothing else any more
+    started, weight = item.get("startedAtMs"), item.get("weight")
     return Listed(
         Member(
-            name=str(item["instanceId"]),
-            zone=item.get("zone"),
-            kind=item.get("machineType"),
-            cell=item.get("cell"),
+            name=name,
+            zone=optional(item, "zone", str),
+            kind=optional(item, "machineType", str),
+            cell=optional(item, "cell", int),
             state=state,
-            weight=None if weight is None else float(weight),
-            started=float(started) / 1000.0,
+            weight=None if weight is None else figure(weight, "weight"),
+            started=0.0 if started is None else figure(started, "startedAtMs") / 1000.0,
         ),
-        (host, int(port)),
+        read_address(item.get("hostPort")),
     )
 
 
+def read_roster(number: int, roster: Any) -> Roster:
+    """A list's event. An entry that cannot be used does not take the others with it; one that ends a
+    member's service binds by its id alone, and so does a state that is not known."""
+    instances = roster.get("instances") if isinstance(roster, dict) else None
+    if not isinstance(instances, list):
+        raise MalformedError("a list without instances")
+    listed: dict[str, Listed] = {}
+    drained: dict[str, None] = {}
+    unusable, why = 0, ""
+    for item in instances:
+        try:
+            entry = read_listed(item)
+        except MalformedError as error:
+            unusable, why = unusable + 1, str(error)
+            name = item.get("instanceId") if isinstance(item, dict) else None
+            if isinstance(name, str) and item.get("lifecycle") != "in_service":
+                listed.pop(name, None)
+                drained[name] = None
+            continue
+        name = entry.member.name
+        drained.pop(name, None)
+        listed.pop(name, None)
+        listed[name] = entry
+    full = bool(roster.get("reset")) or number == 1
+    return Roster(number, full, tuple(listed.values()), tuple(drained), unusable, why)
+
+
+def read_recall(number: int, recall: Any) -> Recall:
+    if not isinstance(recall, dict):
+        raise MalformedError("neither a list nor a purge")
+    key, lot = recall.get("item"), recall.get("lot")
+    if (key is None) == (lot is None):
+        raise MalformedError("a purge names an object or a group")
+    issued = figure(recall.get("issued"), "issued") / 1000.0
+    if key is None:
+        if not is_number(lot):
+            raise MalformedError(f"lot: expected a number, got {str(lot)[:40]!r}")
+        return Recall(number, issued, None, lot)
+    if not isinstance(key, str) or not re.fullmatch(r"[0-9a-fA-F]{1,16}", key):
+        raise MalformedError(f"item: expected hex digits, got {str(key)[:40]!r}")
+    return Recall(number, issued, int(key, 16), None)
+
+
 def read_news(item: Any) -> News:
     """One event, or a heartbeat: a number, plain or as an object with nothing else."""
-    try:
-        if isinstance(item, int):
-            return Heartbeat(item)
-        number = int(item["no"])
-        if item.keys() == {"no"}:
-            # The bulletin writes its heartbeat as an object too; read as a broken event, it ended the
-            # connection every second.
-            return Heartbeat(number)
-        if "roster" in item:
-            roster = item["roster"]
-            listed = tuple(map(read_listed, roster["instances"]))
-            return Roster(number, bool(roster.get("reset")) or number == 1, listed)
-        recall = item["recall"]
-        key, lot = recall.get("item"), recall.get("lot")
-        if (key is None) == (lot is None):
-            raise MalformedError("a purge names an object or a group")
-        return Recall(
-            number,
-            float(recall["issued"]) / 1000.0,
-            None if key is None else int(key, 16),
-            None if lot is None else int(lot),
-        )
-    except MalformedError:
-        raise
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise MalformedError(f"{type(error).__name__} {error} in {str(item)[:120]}") from None
-
-
-class Reader:
-    """Takes bytes as they come and gives whole lines' news."""
+    if is_number(item):
+        return Heartbeat(item)
+    number = number_of(item)
+    if number is None:
+        raise MalformedError(f"neither an event nor a heartbeat: {str(item)[:80]}")
+    if item.keys() == {"no"}:
+        # The bulletin writes its heartbeat as an object too; read as a broken event, it ended the
+        # connection every second.
+        return Heartbeat(number)
+    if "roster" in item:
+        return read_roster(number, item["roster"])
+    return read_recall(number, item.get("recall"))
+
+
+class LineReader:
+    """Takes bytes as they come and gives what whole lines say by `read`; what that refuses is `Unusable`.
+
+    `most` bounds a line's bytes. A longer one is passed over to its end: what stands behind it still comes.
+    """
 
     def __init__(self, most: int) -> None:
         self.most = most
         self.buffer = bytearray()
+        self.skipping = False
 
-    def feed(self, data: bytes) -> Iterator[News]:
+    def lines(self, data: bytes) -> Iterator[bytes | None]:
+        """Whole lines; None for one that is too long."""
+        # Only what is new is looked through: thousands of members come as one line in many pieces.
+        start = len(self.buffer)
         self.buffer += data
-        *lines, rest = self.buffer.split(b"\n")
-        self.buffer = rest
-        if len(rest) > self.most:
-            raise MalformedError("a line is longer than allowed")
-        for line in lines:
-            if not line.strip():
+        end = self.buffer.find(b"\n", start)
+        while end >= 0:
+            line = bytes(self.buffer[:end])
+            del self.buffer[: end + 1]
+            if self.skipping or len(line) > self.most:
+                self.skipping = False
+                yield None
+            elif line.strip():
+                yield line
+            end = self.buffer.find(b"\n")
+        if len(self.buffer) > self.most:
+            self.buffer.clear()
+            self.skipping = True
+
+    def news(self, data: bytes, read: Callable[[Any], T]) -> Iterator[T | Unusable]:
+        for line in self.lines(data):
+            if line is None:
+                yield Unusable(None, "a line is longer than allowed")
                 continue
+            item: Any = None
             try:
                 item = json.loads(line)
-            except ValueError as error:
-                raise MalformedError(str(error)) from None
-            yield read_news(item)
+                news: T | Unusable = read(item)
+            except Exception as error:  # ValueError, RecursionError: whatever it is, it costs this line only
+                news = Unusable(number_of(item), f"{type(error).__name__} {error}"[:200])
+            yield news
+
+
+class Reader(LineReader):
+    """Gives whole lines' news."""
+
+    def feed(self, data: bytes) -> Iterator[News | Unusable]:
+        yield from self.news(data, read_news)
