Refuse at once, without blame, what has no descriptor for its connection to a cache

Seen with RLIMIT_NOFILE of the running program lowered to what it holds: `Connection.__init__` makes its socket outside any try, and EMFILE climbed through `Instance.choose`, `Exchange.fetch` and `deliver`, which failed the request ("Aborted": a charge may not be tried again after that) and left its attempt neither over nor waiting. `Pool.warm` let it through to the start of the program.

`Instance.connect` is now the one place that makes connections. Without a socket the connection that has been idle for longest makes room once; else the attempt ends as not sent, which is proved idle and blames no member (unreached would have had healthy members skipped for our own want). One log line, then counted (`no_socket`). Where an instance has connections that are full of few requests, those carry the rest.

--- a/paddlequay/net/caches.py
+++ b/paddlequay/net/caches.py
@@ -1,8 +1,11 @@
 """Instances of caches, parents and the origin: which connection takes an attempt, and the pool of all."""
 
 import asyncio
+import errno
+import logging
 from collections.abc import Iterable
 
+from paddlequay import log
 from paddlequay.asks import Attempt, End
 from paddlequay.config import Address, Limits
 from paddlequay.counters import Counters
@@ -14,6 +17,8 @@
 from paddlequay.protocol.bulletin import Listed
 from paddlequay.shares import Shares
 
+LOGGER = logging.getLogger(__name__)
+
 
 class Instance:
     """One run of a cache, parent or the origin. A new run, or a new one at the same address, is another."""
@@ -71,12 +76,29 @@
                 self.forget(connection)
                 connection.stream.close()
         if len(self.connections) < limits.cache_connections and self.pool.has_room():
-            connection = Connection(self.pool, self)
-            self.connections.append(connection)
-            self.pool.spawn(connection)
-            return connection
+            return self.connect() or spare
         return spare
 
+    def connect(self) -> Connection | None:
+        """One more connection, which comes up later; None where the system gives no socket for it.
+
+        That is no fault of the member's: what was to go on it counts as not sent. The limits leave room for
+        all connections, but clients about to be closed, or a limit lowered in service, may have used it up.
+        """
+        for _ in range(2):
+            try:
+                connection = Connection(self.pool, self)
+            except OSError as error:
+                if self.pool.counters.add_once("no_socket"):
+                    log.event(LOGGER, logging.WARNING, "no_socket", to=self.name, why=str(error))
+                if error.errno not in (errno.EMFILE, errno.ENFILE) or not self.pool.close_idle():
+                    break
+            else:
+                self.connections.append(connection)
+                self.pool.spawn(connection)
+                return connection
+        return None
+
     def forget(self, connection: Connection) -> None:
         if connection in self.connections:
             self.connections.remove(connection)
@@ -176,10 +198,8 @@
         """Have a connection to each of these before the first request comes."""
         made = []
         for instance in [self.instances[name] for name in names if name in self.instances]:
-            if not instance.connections and self.has_room():
-                made.append(Connection(self, instance))
-                instance.connections.append(made[-1])
-                self.spawn(made[-1])
+            if not instance.connections and self.has_room() and (connection := instance.connect()):
+                made.append(connection)
         while any(not each.up and not each.stream.closed() for each in made):
             await asyncio.sleep(0.01)
 
@@ -192,10 +212,11 @@
 
     def has_room(self) -> bool:
         """Room for one more connection to any instance; the one that has been idle for longest makes it."""
-        held = self.held()
-        if len(held) < self.shares.caches:
-            return True
-        idle = [connection for connection in held if connection.idle and not connection.stream.closed()]
+        return len(self.held()) < self.shares.caches or self.close_idle()
+
+    def close_idle(self) -> bool:
+        """Close the connection that has been idle for longest, if there is one."""
+        idle = [each for each in self.held() if each.idle and not each.stream.closed()]
         if idle:
             min(idle, key=lambda connection: connection.used).stream.close()
         return bool(idle)
--- a/paddlequay/net/connection.py
+++ b/paddlequay/net/connection.py
@@ -22,7 +22,10 @@
 
 
 class Connection:
-    """One connection to an instance, with the attempts that wait for it and those that are out on it."""
+    """One connection to an instance, with the attempts that wait for it and those that are out on it.
+
+    Raises OSError where the system gives no socket for it.
+    """
 
     def __init__(self, pool: "Pool", instance: "Instance") -> None:
         self.pool, self.instance, self.limits = pool, instance, pool.limits
