End an answer that never ends by its pace, and no connection over unread bytes

Two faults where answers cross a connection's judgement.

`cache_stall` began anew with each byte, so an answer of which a byte came now and then held its connection and all that was out on it until their own time-outs; so did a line without an end, and an answer nobody asked for. `Connection.stalled` now asks as well whether the rest can come: at twice the pace so far it has to, while its own request may wait, or within `cache_silence` where nobody waits for it any more.

`Instance.watch` closed as silent or stalled what had answers unread in the socket after a late turn of the loop, and all out on it counted as may-have-run; so did `Pool.leave` and `Pool.ordered`. What has come is now looked for in the same turn (MSG_PEEK, and the read that is done and not taken), read first, and judged at the next beat. Of a run that the list says is over, what is still out then ends (`answered_no_more`).

The read of a connection is under the same handling of errors from its first write on: an error as it came up ended the task alone, and the connection stood, was never read and took the next requests.

--- a/paddlequay/net/caches.py
+++ b/paddlequay/net/caches.py
@@ -30,6 +30,7 @@
         self.address: Address = listed.address
         self.connections: list[Connection] = []
         self.gone = False
+        self.over = False  # started anew: nothing more is written by this run
         self.pace = Pace()
 
     def answer_took(self, attempt: Attempt, time: float) -> None:
@@ -104,8 +105,8 @@
             self.connections.remove(connection)
 
     def watch(self, now: float) -> None:
-        """Close what has fallen silent under requests, and what stopped inside an answer: whatever comes next
-        on that one would be read as its rest."""
+        """Close what has fallen silent under requests, what stopped inside an answer, and what an older run
+        left unanswered. Never over unread bytes: they are read first, and judged at the next beat."""
         limits = self.pool.limits
         heard = max((connection.read_at for connection in self.connections), default=now)
         all_silent = False
@@ -113,13 +114,17 @@
             since = [each for connection in self.connections for each in connection.unheard(heard)]
             all_silent = len(since) >= limits.instance_unheard and self.silence_of(since, now)
         for connection in self.connections[:]:
-            if connection.reader.begun and now - connection.heard > self.pool.limits.cache_stall:
-                self.pool.counters.add("stalled_answers")
+            if connection.stalled(now):
+                cause = "stalled_answers"
             elif connection.dead(now) or (all_silent and connection.out):
-                self.pool.counters.add("silent_connections")
+                cause = "silent_connections"
+            elif self.over and connection.out:
+                cause = "answered_no_more"
             else:
                 continue
-            connection.stream.close()
+            if not connection.stream.closed() and not connection.unread:
+                self.pool.counters.add(cause)
+                connection.stream.close()
 
     def sweep(self, now: float) -> None:
         """Close what has been idle for long, what is silent and empty, and what a gone instance left.
@@ -178,17 +183,17 @@
         instance = self.instances.pop(name, None)
         if instance is None:
             return
-        instance.gone = True
+        instance.gone, instance.over = True, at_once
         self.leaving.append(instance)
         for connection in instance.connections[:]:
-            if at_once or connection.idle:
+            if connection.idle or (at_once and not connection.unread):
                 connection.stream.close()
 
     def ordered(self, name: str) -> None:
         """Operators leave a cache out, or put it back: what is idle to it may lead nowhere any more."""
         instance = self.instances.get(name.removeprefix(OUT)) if name.startswith(OUT) else None
         for connection in instance.connections[:] if instance is not None else ():
-            if connection.idle or connection.silent:
+            if connection.idle or (connection.silent and not connection.unread):
                 connection.stream.close()
 
     def held(self) -> list[Connection]:
--- a/paddlequay/net/connection.py
+++ b/paddlequay/net/connection.py
@@ -40,6 +40,8 @@
         self.once = False  # all that went out on it must not run twice
         self.heard = self.used = pool.now()
         self.read_at = -math.inf  # the last byte, which an accepted connection is not
+        self.answer_began = -math.inf  # the first byte of the answer that is coming
+        self.coming: asyncio.Future[bytes] | None = None  # the read that is under way
 
     def takes(self, attempt: Attempt) -> bool:
         """Room for it, on a connection that answers.
@@ -64,27 +66,14 @@
         except (TimeoutError, StreamClosedError, OSError) as error:
             self.pool.counters.add("connect_failed")
             log.event(LOGGER, logging.INFO, "connect_failed", to=self.instance.name, why=type(error).__name__)
-            self.stream.close()
-            self.instance.forget(self)
-            for attempt in self.take_waiting():
-                self.pool.exchange.end(attempt, End(Outcome.UNREACHED))
-            return
-        self.stream.set_nodelay(True)
-        self.pool.counters.add("connected")
-        self.up = True
-        self.heard = self.pool.now()
-        self.write_waiting()
-        reads = 0
+            return self.lost()
         try:
-            while True:
-                data = await self.stream.read_bytes(self.limits.read_chunk, partial=True)
-                self.heard = self.read_at = self.pool.now()
-                self.silent = False
-                for answer in self.reader.feed(data):
-                    self.answered(answer)
-                reads += 1
-                if len(data) == self.limits.read_chunk or reads % 4 == 0:
-                    await asyncio.sleep(0)  # a read of what is there does not yield: others have a turn
+            self.stream.set_nodelay(True)
+            self.pool.counters.add("connected")
+            self.up = True
+            self.heard = self.used = self.pool.now()
+            self.write_waiting()
+            await self.read()
         except StreamClosedError:
             pass
         except wire.MalformedError as error:
@@ -95,6 +84,22 @@
             LOGGER.exception("cache_connection_failed")
         self.lost()
 
+    async def read(self) -> None:
+        reads = 0
+        while True:
+            self.coming = asyncio.ensure_future(self.stream.read_bytes(self.limits.read_chunk, partial=True))
+            data = await self.coming
+            self.heard = self.read_at = self.pool.now()
+            self.silent = False
+            if not self.reader.begun:
+                self.answer_began = self.heard
+            for answer in self.reader.feed(data):
+                self.answer_began = self.heard
+                self.answered(answer)
+            reads += 1
+            if len(data) == self.limits.read_chunk or reads % 4 == 0:
+                await asyncio.sleep(0)  # a read of what is there does not yield: others have a turn
+
     def lost(self) -> None:
         """The connection is over: what is out may have run, what waits has not."""
         self.stream.close()
@@ -111,6 +116,22 @@
         self.waiting.clear()
         return waiting
 
+    def peek(self) -> bytes | None:
+        """The next byte that lies in the socket, b"" where its end does, None where nothing has come."""
+        try:
+            return self.stream.socket.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return None
+        except OSError:
+            return b""
+
+    @property
+    def unread(self) -> bool:
+        """Whether bytes have come that were not looked at yet, as after a late turn of the loop."""
+        if self.stream.closed() or self.coming is None:
+            return False
+        return self.coming.done() or bool(self.peek())
+
     def write_waiting(self) -> None:
         """Write what waits, one at a time and only while the socket takes it, so that checks are fresh."""
         while self.up and self.waiting and not self.stream.closed() and not self.stream.writing():
@@ -188,6 +209,24 @@
         since = self.unheard(self.heard)
         return len(since) >= self.limits.cache_unheard and self.instance.silence_of(since, now)
 
+    def stalled(self, now: float) -> bool:
+        """Whether the answer that is coming has stopped, or comes too slowly to be waited for.
+
+        All that is out behind it waits for its rest. At twice the pace so far, as an honest one may begin
+        slowly, that has to come while its own request may wait, or within `cache_silence` where nobody waits
+        for it. Else a byte now and then holds a connection with thirty requests on it until their time-outs.
+        """
+        took = now - self.answer_began
+        if not self.reader.begun or took <= self.limits.cache_stall:
+            return False
+        if now - self.heard > self.limits.cache_stall:
+            return True
+        share = self.reader.share
+        rest = took / share - took if share else math.inf
+        attempt = self.out.get(self.reader.answering or "")
+        left = 0.0 if attempt is None else attempt.expires - now
+        return rest > 2 * max(left, self.limits.cache_silence)
+
     @property
     def idle(self) -> bool:
         return self.up and not self.out and not self.waiting
--- a/paddlequay/protocol/caches.py
+++ b/paddlequay/protocol/caches.py
@@ -61,6 +61,16 @@
         """Whether an answer, or its line, has begun and is not whole."""
         return self.head is not None or bool(self.line)
 
+    @property
+    def share(self) -> float:
+        """How much has come of the answer that has begun, 0 to 1; 0 while its length is not told yet."""
+        return 0.0 if self.head is None else (self.filled + self.ending) / (len(self.body) + 2)
+
+    @property
+    def answering(self) -> str | None:
+        """The id of the answer that has begun, once its line is whole."""
+        return None if self.head is None else self.head[0]
+
     def feed(self, data: bytes) -> Iterator[Answer]:
         view = memoryview(data)
         at = 0
