Write nothing on a connection whose peer has closed it, nor to the address of an older run

Idle connections that caches close early: the peer's end lay in the socket unread as a request came in the same turn. Written all the same, it met a reset and counted as may-have-run: a charge failed, a read cost an attempt. `write_waiting` now looks (MSG_PEEK) where nothing is out or what is written must not run twice. What waits was then never written and goes on another connection of the same member, at no cost of an attempt, at most once for each connection that has carried something; one that never has ends as unreached, or a peer that closes each new one would be asked without end.

A member gone from the list while a connection to it came up, and back under its name at another address: the exchange asks by name, so the new run vouched for a write to the old address. What waits for an instance that is gone now ends as not sent, and its end is no failure of whoever bears the name.

`write_waiting` hung on the last request's write alone: with a QUIT behind it taken in part by the socket, the rest waited until its time-out. `Connection.send` has each write go on with what waits.

--- a/paddlequay/net/caches.py
+++ b/paddlequay/net/caches.py
@@ -46,7 +46,7 @@
         return self.pool.waits.silent(ages, self.pace.over(self.pool.pace))
 
     def start(self, attempt: Attempt) -> None:
-        connection = self.choose(attempt)
+        connection = None if self.gone else self.choose(attempt)
         if connection is None:
             self.pool.counters.add("no_connection_left")
             return self.pool.exchange.end(attempt, End(Outcome.NOT_SENT))
--- a/paddlequay/net/connection.py
+++ b/paddlequay/net/connection.py
@@ -108,8 +108,10 @@
         waiting = self.take_waiting()
         for attempt in out:
             self.pool.exchange.end(attempt, End(Outcome.RESET))
+        # That a run is over, as the list tells, is no failure of whoever bears its name now.
+        unwritten = Outcome.NOT_SENT if self.instance.gone else Outcome.UNREACHED
         for attempt in waiting:
-            self.pool.exchange.end(attempt, End(Outcome.UNREACHED))
+            self.pool.exchange.end(attempt, End(unwritten))
 
     def take_waiting(self) -> list[Attempt]:
         waiting = list(self.waiting)
@@ -135,11 +137,23 @@
     def write_waiting(self) -> None:
         """Write what waits, one at a time and only while the socket takes it, so that checks are fresh."""
         while self.up and self.waiting and not self.stream.closed() and not self.stream.writing():
+            if self.instance.gone:
+                # Its name may be back on the list, and would pass there, as another run at another address.
+                for attempt in self.take_waiting():
+                    self.pool.exchange.end(attempt, End(Outcome.NOT_SENT))
+                return
+            if (self.waiting[0].once or not self.out) and self.peek() == b"":
+                return self.ended_by_peer()
             attempt = self.waiting.popleft()
             order = self.pool.exchange.order(attempt)
             if order is None:
                 continue
             line = wire.ask(order.id, order_fields(order), len(order.body))
+            try:
+                self.send(b"".join((line, order.body, b"\r\n")))
+            except StreamClosedError:
+                self.waiting.appendleft(attempt)  # never written, and ends so
+                return
             self.out[attempt.id] = attempt
             self.once = attempt.once and (self.once or not self.written)
             self.written[attempt.id] = None
@@ -147,12 +161,25 @@
                 self.written.popitem(last=False)
             self.used = self.pool.now()
             self.pool.exchange.written(attempt)
-            try:
-                done = self.stream.write(b"".join((line, order.body, b"\r\n")))
-            except StreamClosedError:
-                return
-            if self.stream.writing():
-                done.add_done_callback(lambda _: self.write_waiting())
+
+    def ended_by_peer(self) -> None:
+        """A peer's close has come that was not read yet: what waits was never written and goes elsewhere.
+
+        Only where the connection has carried something: a peer that closes each new one would be asked
+        without end.
+        """
+        self.pool.counters.add("closed_by_cache")
+        self.stream.close()
+        if self.written:
+            self.instance.forget(self)
+            for attempt in self.take_waiting():
+                self.instance.start(attempt)
+
+    def send(self, data: bytes) -> None:
+        """Write to an open connection; what waits goes on as soon as the socket has taken all of it."""
+        done = self.stream.write(data)
+        if self.stream.writing():
+            done.add_done_callback(lambda _: self.write_waiting())
 
     def answered(self, answer: wire.Answer) -> None:
         attempt = self.out.get(answer.id)
@@ -189,8 +216,8 @@
             elif in_vain and attempt.written is not None:
                 # At least so long: leaving out what was given up would make all waits look short in a jam.
                 self.pool.waits.took(attempt.owner.ask.class_name, now - attempt.written)
-            if not self.stream.closed():
-                self.stream.write(wire.quit_(attempt.id))
+            if self.pool.exchange.router.settings.can_cancel and not self.stream.closed():
+                self.send(wire.quit_(attempt.id))
         elif attempt in self.waiting:
             self.waiting.remove(attempt)
         return quiet
--- /dev/null
+++ b/tests/crossings/test_cache_connect.py
@@ -0,0 +1,135 @@
+"""What happens to a member, or to what waits for it, while a connection to it is coming up.
+
+`under_way` leaves each connect at the point at which the kernel has it up and the router does not know yet.
+"""
+
+import asyncio
+from pathlib import Path
+from typing import Any
+
+import pytest
+from rig_caches import Peer, Rig, came, play
+
+from paddlequay.asks import Attempt
+from paddlequay.interface import State
+
+
+async def under_way(rig: Rig, name: str = "box") -> None:
+    await asyncio.sleep(0)
+    assert not rig.only(name).up and rig.peers[name].accept() is not None
+
+
+def test_a_connection_that_comes_up_once_its_only_attempt_has_gone_is_kept_counted_and_closed(
+    tmp_path: Path,
+) -> None:
+    async def scene(rig: Rig) -> None:
+        item = rig.ask("1")
+        assert item is not None
+        await under_way(rig)
+        rig.exchange.withdraw(item)
+        connection = rig.only()
+        await rig.until(lambda: connection.up, "the connection is up")
+        assert connection.idle and rig.pool.held() == [connection]
+        await rig.served("box", "2")
+        assert rig.only() is connection and rig.counters.counts["sent"] == 1
+        connection.used -= rig.limits.cache_idle + 1.0
+        rig.pool.sweep()
+        await rig.until(lambda: not rig.pool.held(), "it is closed as idle")
+
+    play(tmp_path, scene)
+
+
+@pytest.mark.parametrize("kind", ["video", "charge"])
+def test_what_waited_for_a_member_is_not_written_to_its_old_address_once_its_name_is_back_elsewhere(
+    tmp_path: Path, kind: str
+) -> None:
+    """The exchange asks by name whether a member may be sent to: the new run would vouch for the old one."""
+
+    async def scene(rig: Rig) -> None:
+        name = "store" if kind == "charge" else "box"
+        old, new = rig.peers[name], Peer()
+        rig.ask("1", kind)
+        await under_way(rig, name)
+        waiting = rig.only(name)
+        rig.change(*(each for each in rig.listed.values() if each.member.name != name), full=True)
+        rig.peers[name] = new
+        rig.change(rig.entry(name))
+        await rig.until(lambda: waiting.stream.closed() or waiting.idle, "nothing waits there any more")
+        assert rig.counters.counts["ended.not_sent"] == 1 and not rig.counters.counts.get("ended.unreached")
+        assert came(old.connections[0]) == b""
+        await rig.served(name, "2", kind)
+        assert came(old.connections[0]) == b""
+        old.close()
+
+    play(tmp_path, scene)
+
+
+def test_what_waited_for_a_member_that_has_started_anew_counts_as_not_sent(tmp_path: Path) -> None:
+    """Its older run's end is no failure of the newer one's."""
+
+    async def scene(rig: Rig) -> None:
+        rig.ask("1")
+        await under_way(rig)
+        rig.change(rig.entry("box", started=5.0))
+        await rig.until(lambda: not rig.pool.leaving or not rig.pool.leaving[0].connections, "it has ended")
+        assert rig.counters.counts["ended.not_sent"] == 1 and not rig.counters.counts.get("ended.unreached")
+        assert came(rig.peers["box"].connections[0]) == b""
+
+    play(tmp_path, scene)
+
+
+def test_what_waits_for_a_member_that_begins_to_drain_is_not_written(tmp_path: Path) -> None:
+    async def scene(rig: Rig) -> None:
+        rig.ask("1")
+        await under_way(rig)
+        rig.change(rig.entry("box", state=State.DRAINING))
+        await rig.asked("aimag", "1")
+        assert rig.counters.counts["ended.not_sent"] == 1
+        assert came(rig.peers["box"].connections[0]) == b""
+
+    play(tmp_path, scene)
+
+
+def test_a_step_decided_while_what_waits_is_being_written_goes_out_exactly_once(tmp_path: Path) -> None:
+    """The source drains: `order` ends each attempt, and the next one begins inside the loop that writes."""
+
+    async def scene(rig: Rig) -> None:
+        rig.ask("1")
+        rig.ask("2")
+        await under_way(rig)
+        rig.change(rig.entry("aimag", state=State.DRAINING))
+        connection = await rig.asked("store", "1")
+        assert await rig.asked("store", "2") is connection
+        for id in ("1", "2"):
+            connection.sendall(f"{id} HIT - 1\r\n{id}\r\n".encode())
+        await rig.until(lambda: len(rig.replies) == 2, "both answers")
+        assert [bytes(reply.body) for reply in rig.replies] == [b"1", b"2"]
+        assert rig.counters.counts["ended.not_sent"] == 2 and rig.counters.counts["sent"] == 2
+        assert came(rig.peers["box"].connections[0]) == b""
+
+    play(tmp_path, scene)
+
+
+def test_an_error_as_a_connection_comes_up_ends_that_connection_and_no_more(
+    tmp_path: Path, caplog: Any
+) -> None:
+    """It ended the task alone: the connection stood, was never read, and took the next requests."""
+
+    async def scene(rig: Rig) -> None:
+        rig.ask("1")
+        rig.ask("2")
+        await under_way(rig)
+        order, failed = rig.exchange.order, list[Attempt]()
+
+        def fails_once(attempt: Attempt) -> Any:
+            if failed:
+                return order(attempt)
+            failed.append(attempt)
+            raise RuntimeError("forced")
+
+        rig.exchange.order = fails_once  # type: ignore[method-assign]
+        await rig.until(lambda: rig.counters.counts.get("cache_errors") == 1, "the error is counted")
+        await rig.asked("aimag", "2")  # proved idle, on its way round
+        assert not rig.pool.instances["box"].connections
+
+    play(tmp_path, scene)
