Call a client's copy current only where the cache's answer bears its tag

A VALID without a tag, or with another copy's, was passed on as `current` to whoever had named a copy. An edge router may say so only if a cache has named that copy to it; else the request is lost. Such an answer is now spoilt, as one to a request that named no copy already was: its connection ends, and another source is asked.

Late, second and given-up answers are passed over: no fault.

--- a/paddlequay/net/connection.py
+++ b/paddlequay/net/connection.py
@@ -188,8 +188,9 @@
             # Read before it is taken off: what cannot be read ends the connection and all that is out on it,
             # this attempt too, which else would have waited for its time-out.
             end = read_end(answer)
-            if end.unchanged and attempt.owner.ask.known is None:
-                raise wire.MalformedError("VALID to a request that named no copy")
+            known = attempt.owner.ask.known
+            if end.unchanged and (known is None or answer.fields.get("tag") != known):
+                raise wire.MalformedError("VALID that does not name the copy that was asked about")
             del self.out[answer.id]
             if attempt.written is not None:
                 self.instance.answer_took(attempt, self.used - attempt.written)
--- /dev/null
+++ b/tests/crossings/test_cache_words.py
@@ -0,0 +1,106 @@
+"""Answers that come late, twice, or with a word that their request cannot have."""
+
+from pathlib import Path
+
+import pytest
+from rig_caches import Rig, came, play
+
+from paddlequay.asks import Verdict
+
+SEEN = "4be0c1927d55a6f3"
+
+
+@pytest.mark.parametrize("fields", ["-", "tag=ffffffffffffffff", "detail=HIT,minted=1000", "tag="])
+def test_a_client_s_copy_is_current_only_where_the_cache_has_named_it(tmp_path: Path, fields: str) -> None:
+    async def scene(rig: Rig) -> None:
+        rig.ask("1", known=SEEN)
+        connection = await rig.asked("box", "1")
+        connection.sendall(f"1 VALID {fields} 0\r\n\r\n".encode())
+        other = await rig.asked("aimag", "1")  # spoilt, and asked for elsewhere
+        assert not rig.replies and rig.counters.counts["bad_cache_lines"] == 1
+        other.sendall(f"1 VALID tag={SEEN},minted=1000 0\r\n\r\n".encode())
+        await rig.until(lambda: rig.replies, "the answer")
+        assert rig.replies[0].verdict is Verdict.UNCHANGED
+
+    play(tmp_path, scene)
+
+
+@pytest.mark.parametrize("fields", ["-", "tag=", f"tag={SEEN}"])
+def test_no_copy_is_current_for_who_has_named_none(tmp_path: Path, fields: str) -> None:
+    async def scene(rig: Rig) -> None:
+        rig.ask("1")
+        connection = await rig.asked("box", "1")
+        connection.sendall(f"1 VALID {fields} 0\r\n\r\n".encode())
+        await rig.asked("aimag", "1")
+        assert rig.counters.counts["bad_cache_lines"] == 1
+
+    play(tmp_path, scene)
+
+
+@pytest.mark.parametrize("late", ["HIT - 1\r\nz", "LATE - 0\r\n", "FAULT - 0\r\n", "NONE - 0\r\n"])
+def test_what_answers_a_request_that_was_given_up_is_passed_over(tmp_path: Path, late: str) -> None:
+    """Also once its id is asked again, which goes on another connection."""
+
+    async def scene(rig: Rig) -> None:
+        item = rig.ask("1")
+        assert item is not None
+        first = await rig.asked("box", "1")
+        rig.exchange.withdraw(item)
+        rig.peers["box"].seen.clear()
+        rig.ask("1")
+        rig.ask("2")
+        again = await rig.asked("box", "1")
+        assert again is not first
+        first.sendall(2 * f"1 {late}\r\n".encode())
+        await rig.until(lambda: rig.counters.counts.get("answers_not_asked") == 2, "both are passed over")
+        assert not rig.replies
+        for id in ("1", "2"):
+            (await rig.asked("box", id)).sendall(f"{id} HIT - 1\r\n{id}\r\n".encode())
+        await rig.until(lambda: len(rig.replies) == 2, "the answers")
+        assert sorted(bytes(reply.body) for reply in rig.replies) == [b"1", b"2"]
+
+    play(tmp_path, scene)
+
+
+def test_a_second_answer_serves_no_other_request_and_ends_nothing(tmp_path: Path) -> None:
+    async def scene(rig: Rig) -> None:
+        connection = await rig.served("box", "1")
+        rig.ask("2")
+        await rig.asked("box", "2")
+        connection.sendall(b"1 HIT - 1\r\nx\r\n2 HIT - 1\r\ny\r\n")
+        await rig.until(lambda: len(rig.replies) == 2, "the second request's own answer")
+        assert bytes(rig.replies[1].body) == b"y" and rig.counters.counts["answers_not_asked"] == 1
+
+    play(tmp_path, scene)
+
+
+def test_a_charge_that_came_too_late_never_ran_and_goes_another_way(tmp_path: Path) -> None:
+    async def scene(rig: Rig) -> None:
+        rig.ask("1", "charge")
+        connection = await rig.asked("store", "1")
+        connection.sendall(b"1 LATE - 0\r\n\r\n")
+        await rig.asked("box", "1")
+        assert rig.counters.counts["ended.not_sent"] == 1
+
+    play(tmp_path, scene)
+
+
+@pytest.mark.parametrize("allowed", [True, False])
+def test_a_request_is_given_up_at_its_cache_only_where_the_settings_allow_that(
+    tmp_path: Path, allowed: bool
+) -> None:
+    async def scene(rig: Rig) -> None:
+        item = rig.ask("1")
+        assert item is not None
+        connection = await rig.asked("box", "1")
+        rig.exchange.withdraw(item)
+        rig.ask("2", ttl=0.06)
+        await rig.asked("box", "2")
+        await rig.until(lambda: rig.replies, "the second one's time is over")
+        rig.ask("3")
+        await rig.until(lambda: b"ASK 3 " in came(connection) or rig.counters.counts["sent"] == 3, "a third")
+        seen = rig.peers["box"].seen[connection] + came(connection)
+        assert (b"QUIT 1\r\n" in seen) is allowed
+        assert not rig.exchange.open.get("q1")
+
+    play(tmp_path, scene, can_cancel=allowed)
