Begin background tasks again whenever they end, and tell of each that fails

follow, sweeping and beating were futures that nobody waited for until the end: one error in a beat, or one socket refused while discovery was away (EMFILE, seen with clients that fill a lowered RLIMIT_NOFILE), ended the task for good and unseen. Tasks of the console and of the link between two processes end by themselves and are told when they fail; an error in a message from the other process ends the link in order, where it would have counted as open for good. What a take-over waits for no longer fails unseen either.

A console call whose time ran out while the disk still wrote let the next write begin at the same file: the write is shielded, and the lock held until it is over.

Without the mend the beat and the list do not come back (both tests on the real program).

--- /dev/null
+++ b/paddlequay/background.py
@@ -0,0 +1,72 @@
+"""Tasks that nobody waits for: none of them ends unseen.
+
+One that is to run for as long as the program is begun again whenever it ends, after a pause; of others, an
+error is told. The first trace under a name is logged, all are counted as `background_errors.NAME`.
+"""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any
+
+from paddlequay.counters import Counters
+
+LOGGER = logging.getLogger(__name__)
+
+PAUSE_LEAST, PAUSE_MOST = 0.05, 1.0  # seconds before it begins again, twice as long after each early end
+
+
+class Background:
+    """Owns tasks from their start to `stop`."""
+
+    def __init__(self, counters: Counters) -> None:
+        self.counters = counters
+        self.tasks: set[asyncio.Task[Any]] = set()
+
+    def spawn(self, name: str, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        """Run until its own end."""
+        task = asyncio.ensure_future(work)
+        self.tasks.add(task)
+        task.add_done_callback(lambda done: self.ended(name, done))
+        return task
+
+    def keep(self, name: str, work: Callable[[], Awaitable[None]]) -> None:
+        """Run, and run again whenever it ends, until `stop`."""
+        self.spawn(name, self.kept(name, work))
+
+    async def stop(self) -> None:
+        """Cancel all, and wait until they have ended."""
+        while self.tasks:
+            for task in self.tasks:
+                task.cancel()
+            await asyncio.wait(self.tasks)
+
+    def ended(self, name: str, task: asyncio.Task[None]) -> None:
+        self.tasks.discard(task)
+        error = None if task.cancelled() else task.exception()
+        if error is not None:
+            self.tell(name, error)
+
+    async def kept(self, name: str, work: Callable[[], Awaitable[None]]) -> None:
+        loop, me = asyncio.get_running_loop(), asyncio.current_task()
+        pause = PAUSE_LEAST
+        while True:
+            began = loop.time()
+            error: BaseException | None = None
+            try:
+                await work()
+            except asyncio.CancelledError as cancelled:
+                if me is None or me.cancelling():
+                    raise
+                error = cancelled  # of something it waited for, not of itself
+            except Exception as raised:
+                error = raised
+            self.tell(name, error)
+            pause = PAUSE_LEAST if loop.time() - began > PAUSE_MOST else min(2 * pause, PAUSE_MOST)
+            await asyncio.sleep(pause)
+
+    def tell(self, name: str, error: BaseException | None) -> None:
+        """Without an error it has ended by itself, which it must not."""
+        if self.counters.add_once(f"background_errors.{name}"):
+            why = type(error).__name__ if error is not None else "ended"
+            LOGGER.error("background_failed", exc_info=error, extra={"fields": {"task": name, "why": why}})
--- a/paddlequay/net/console.py
+++ b/paddlequay/net/console.py
@@ -10,6 +10,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from paddlequay import log
+from paddlequay.background import Background
 from paddlequay.config import Limits
 from paddlequay.counters import Counters
 from paddlequay.net import door
@@ -51,7 +52,7 @@
         self.half: OrderedDict[IOStream, None] = OrderedDict()  # no whole call yet, the oldest first
         self.saving = asyncio.Lock()
         self.open = 0
-        self.tasks: set[asyncio.Task[None]] = set()
+        self.background = Background(counters)
 
     def listen(self, listener: socket.socket) -> None:
         listener.listen(64)
@@ -68,9 +69,7 @@
             self.half.popitem(last=False)[0].close()
         self.open += 1
         self.half[stream] = None
-        task = asyncio.ensure_future(self.serve(stream))
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        self.background.spawn("console", self.serve(stream))
 
     async def serve(self, stream: IOStream) -> None:
         try:
@@ -140,6 +139,11 @@
             log.event(LOGGER, logging.INFO, "call", path="/".join(call.path), status=status, why=why)
         return status, why, ""
 
+    async def save(self) -> None:
+        """A disk may flush for longer than a beat of the loop, which would take itself for overloaded."""
+        async with self.saving:
+            await asyncio.to_thread(self.operation.write, self.operation.kept())
+
     def ready(self) -> Answer:
         why = self.front.closed_for()
         return (503, why) if why else (200, "ready")
@@ -163,9 +167,8 @@
             return 409, str(error)
         confirmed = await self.twin.confirm(OUT + cache, mark)
         try:
-            # A disk may flush for longer than a beat of the loop, which would take itself for overloaded.
-            async with self.saving:
-                await asyncio.to_thread(self.operation.write, self.operation.kept())
+            # Goes on where the call's time is over: the next write must not meet this one's file half done.
+            await asyncio.shield(asyncio.ensure_future(self.save()))
         except OSError as error:
             return 503, f"obeyed, but not saved for the next process: {error.strerror}; call again"
         if not confirmed:
--- a/paddlequay/net/twin.py
+++ b/paddlequay/net/twin.py
@@ -8,13 +8,13 @@
 import logging
 import os
 import socket
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from pathlib import Path
-from typing import Any
 
 from tornado.iostream import IOStream, StreamClosedError
 
 from paddlequay import log
+from paddlequay.background import Background
 from paddlequay.config import Limits
 from paddlequay.counters import Counters
 from paddlequay.net import door
@@ -68,6 +68,10 @@
             pass
         except wire.MalformedError as error:
             log.event(LOGGER, logging.WARNING, "bad_twin_line", why=str(error))
+        except Exception:
+            # The link ends, and what follows its end is done: else it would count as open for good.
+            self.twin.counters.add("twin_errors")
+            LOGGER.exception("twin_failed")
         finally:
             self.stream.close()
             self.known.set()
@@ -87,7 +91,7 @@
             case wire.Order():
                 operation.take(message.name, message.mark)
                 self.twin.counters.add("orders_from_twin")
-                self.twin.spawn(self.pass_on(message))
+                self.twin.background.spawn("twin", self.pass_on(message))
             case wire.Confirmed():
                 done = self.awaited.get(message.number)
                 if done is not None and not done.done():
@@ -116,7 +120,7 @@
         self.newer: Link | None = None
         self.numbers = 0
         self.held: Held | None = None
-        self.tasks: set[asyncio.Task[None]] = set()
+        self.background = Background(counters)
         self.closed = False
         self.found = asyncio.Event()  # whether there is an older process is known
         self.knowledge: Callable[[], dict[str, float]] = dict
@@ -132,11 +136,6 @@
         """Whether a newer process takes clients."""
         return self.newer is not None and self.newer.ready
 
-    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.ensure_future(work)
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
-
     async def find(self) -> bool:
         """Look for an older process and learn what it knows; then be found in its place."""
         stream = IOStream(socket.socket(socket.AF_UNIX, socket.SOCK_STREAM))
@@ -146,7 +145,7 @@
             stream.close()
         else:
             self.older = Link(self, stream)
-            self.spawn(self.follow_older(self.older))
+            self.background.spawn("twin", self.follow_older(self.older))
         self.found.set()
         if self.older is not None:
             try:
@@ -200,7 +199,7 @@
         self.counters.add("newer_processes")
         log.event(LOGGER, logging.INFO, "newer_process")
         self.on_newer()
-        self.spawn(self.follow_newer(self.newer))
+        self.background.spawn("twin", self.follow_newer(self.newer))
 
     async def follow_newer(self, link: Link) -> None:
         await link.run()
--- a/paddlequay/program.py
+++ b/paddlequay/program.py
@@ -14,6 +14,7 @@
 from typing import TYPE_CHECKING, Any
 
 from paddlequay import log, signals
+from paddlequay.background import Background
 from paddlequay.config import Address, Config, ConfigError, read_config
 from paddlequay.counters import Counters
 from paddlequay.ending import end
@@ -46,6 +47,7 @@
         self.config = config
         self.limits = config.limits
         self.counters = Counters()
+        self.background = Background(self.counters)
         self.operation = Operation(config.file("json"))
         try:
             self.operation.load()
@@ -223,10 +225,9 @@
         task.result()
         return True
 
-    @staticmethod
-    async def either(*work: Coroutine[Any, Any, None]) -> None:
+    async def either(self, *work: Coroutine[Any, Any, None]) -> None:
         """Wait for the first that is done; the others are given up."""
-        tasks = [asyncio.ensure_future(each) for each in work]
+        tasks = [self.background.spawn("take_over", each) for each in work]
         try:
             await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
         finally:
@@ -236,8 +237,9 @@
 
     async def run(self) -> None:
         """Serve until SIGTERM, then end in order."""
-        work = (self.follower.follow(), self.sweeping(), self.beating())
-        tasks = [self.background(each) for each in work]
+        self.background.keep("follow", self.follower.follow)
+        self.background.keep("sweeping", self.sweeping)
+        self.background.keep("beating", self.beating)
         limits = self.limits
         if self.members is not None:
             self.members.start()
@@ -250,10 +252,7 @@
             self.sharing.leave()
         if self.front.listener is not None:  # else nothing was taken, and an older process goes on alone
             await end(self.front, self.twin, self.limits)
-        for task in tasks:
-            task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await task
+        await self.background.stop()
         if self.members is not None:
             self.members.stop()
         if self.sharing is not None:
@@ -262,10 +261,6 @@
         self.counters.print("exit")
         signals.hold()  # with the loop their default actions come back, and would end what ends in order
 
-    @staticmethod
-    def background(work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
-        return asyncio.ensure_future(work)
-
 
 async def serve(config: Config) -> None:
     await Program(config).run()
--- /dev/null
+++ b/tests/crossings/test_background.py
@@ -0,0 +1,112 @@
+"""Tasks that run beside everything else: one that fails is told, and goes on."""
+
+import asyncio
+import itertools
+import logging
+import os
+import socket
+import time
+from pathlib import Path
+
+import pytest
+from harness import Client, platform, until
+from test_descriptors import full, lower
+
+from paddlequay.background import PAUSE_LEAST, Background
+from paddlequay.counters import Counters
+
+
+def test_what_ends_is_told_once_and_begun_again_after_pauses(caplog: pytest.LogCaptureFixture) -> None:
+    """By an error, by itself, and by the cancelling of what it waited for: each time it goes on."""
+    at: list[float] = []
+
+    async def work() -> None:
+        at.append(asyncio.get_running_loop().time())
+        if len(at) == 1:
+            raise ValueError("first")
+        if len(at) == 2:
+            waited: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+            waited.cancel()
+            await waited
+        if len(at) == 4:
+            await asyncio.Event().wait()
+
+    async def play() -> Background:
+        made = Background(Counters())
+        made.keep("work", work)
+        while len(at) < 4:
+            await asyncio.sleep(0.005)
+        await made.stop()
+        assert not made.tasks
+        return made
+
+    with caplog.at_level(logging.ERROR):
+        made = asyncio.run(asyncio.wait_for(play(), 5))
+    assert made.counters.counts["background_errors.work"] == 3
+    assert [record.getMessage() for record in caplog.records] == ["background_failed"]
+    pauses = [after - before for before, after in itertools.pairwise(at)]
+    assert all(pause >= least * PAUSE_LEAST for pause, least in zip(pauses, (1.9, 3.9, 7.9), strict=True))
+
+
+def test_an_error_that_nobody_waits_for_is_told(caplog: pytest.LogCaptureFixture) -> None:
+    async def work() -> None:
+        raise ValueError("alone")
+
+    async def play() -> Counters:
+        made = Background(Counters())
+        await asyncio.wait((made.spawn("work", work()),))
+        await asyncio.sleep(0)
+        return made.counters
+
+    with caplog.at_level(logging.ERROR):
+        counters = asyncio.run(play())
+    assert counters.counts["background_errors.work"] == 1 and "alone" in caplog.text
+
+
+BEATS = """
+from paddlequay.load import OwnLoad
+real, beats = OwnLoad.beat, []
+def beat(self, now, cpu):
+    beats.append(now)
+    if len(beats) < 4:
+        raise ValueError("a beat fails")
+    return real(self, now, cpu)
+OwnLoad.beat = beat
+"""
+
+
+def test_a_beat_that_fails_is_not_the_last(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """The task ended unseen: no connection was watched and no load told from then on."""
+    (tmp_path / "sitecustomize.py").write_text(BEATS)
+    monkeypatch.setenv("PYTHONPATH", os.pathsep.join((str(tmp_path), os.getcwd())))
+    with platform() as p:
+        client = p.client()
+        until(lambda: p.counted("background_errors.beating") == 3, "it has failed, and gone on")
+        assert sum("background_failed" in line for line in p.log) == 1
+        client.ask()
+        p.box.answer("HIT", "-", b"x")
+        assert client.answer()[3][0] == b"x"
+        assert p.end() == 0
+
+
+def test_the_list_is_followed_again_once_descriptors_are_free() -> None:
+    """Discovery goes while clients fill them; one refused socket ended the following for good."""
+    with platform(limits={"sockets": 300, "memory_mb": 192}) as p:
+        early = p.client()
+        early.ask()
+        box, words = p.box.line()
+        bulletin = p.publish()
+        lower(p, free=3)
+        crowd = [Client(p.address) for _ in range(20)]
+        full(p)
+        box.sendall(f"{words[1]} HIT - 1\r\nx\r\n".encode())
+        assert early.answer()[3][0] == b"x"
+        bulletin.shutdown(socket.SHUT_RDWR)  # the descriptor goes to the door, which looks more often
+        p.logged("event=bulletin_lost")
+        until(lambda: p.counted("client_connections") == 5, "it has gone to the door")
+        time.sleep(0.3)  # past the pause after which it is followed again
+        assert p.bulletin.accepted.empty()
+        for each in crowd:
+            each.socket.close()
+        until(lambda: not p.bulletin.accepted.empty(), "followed again")
+        assert p.end() == 0
