Pass over tests that KNOWN-RED.txt lists, three at most, print them, and fail on any other

A test red for a fault that cannot be mended at once may land with a line of its own: test, cause, issue. conftest.py runs it as a strict expected failure, so one that passes again fails the run until its line is gone. No such file is there now.

tests/crossings/test_known_red.py plays each case on a suite of two tests, with and without workers.

--- /dev/null
+++ b/tests/crossings/test_known_red.py
@@ -0,0 +1,91 @@
+"""Tests known to be red: passed over one by one, printed, and never more than the file says."""
+
+import shutil
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from harness import ROOT
+
+RED, GREEN = "tests/test_tiny.py::test_red", "tests/test_tiny.py::test_green[a b]"
+TESTS = """
+import pytest
+
+def test_red():
+    assert not "the fault"
+
+@pytest.mark.parametrize("value", ["a b"])
+def test_green(value):
+    pass
+"""
+LINE = "{} | bytes are lost at a close | issue 7"
+Run = subprocess.CompletedProcess[str]
+
+
+def run(folder: Path, *lines: str, more: tuple[str, ...] = (), tests: str = TESTS) -> Run:
+    """A suite of two tests, one red, run with such a file."""
+    (folder / "tests").mkdir()
+    shutil.copy(ROOT / "tests/conftest.py", folder / "tests/conftest.py")
+    (folder / "tests/test_tiny.py").write_text(tests)
+    (folder / "pytest.ini").write_text("[pytest]\naddopts = -q -p no:cacheprovider\ntestpaths = tests\n")
+    if lines:
+        (folder / "KNOWN-RED.txt").write_text("\n".join(lines) + "\n")
+    command = [sys.executable, "-m", "pytest", *more]
+    return subprocess.run(command, cwd=folder, capture_output=True, text=True, timeout=60)
+
+
+def test_without_the_file_a_red_test_fails_the_run(tmp_path: Path) -> None:
+    assert run(tmp_path, more=("--whole-suite",)).returncode == 1
+
+
+@pytest.mark.parametrize("more", [(), ("--whole-suite",), ("-n", "2", "--whole-suite")])
+def test_a_listed_test_is_run_passed_over_and_printed(more: tuple[str, ...], tmp_path: Path) -> None:
+    done = run(tmp_path, LINE.format(RED), more=more)
+    assert done.returncode == 0
+    assert done.stdout.count("known to be red") == 1 and LINE.format(RED) in done.stdout.splitlines()
+
+
+@pytest.mark.parametrize("more", [(), ("-n", "2")])
+def test_a_listed_test_that_passes_again_fails_the_run(more: tuple[str, ...], tmp_path: Path) -> None:
+    done = run(tmp_path, LINE.format(RED), LINE.format(GREEN), more=more)
+    assert done.returncode == 1 and f"FAILED {GREEN}" in done.stdout and f"FAILED {RED}" not in done.stdout
+
+
+def test_another_red_test_beside_a_listed_one_fails_the_run(tmp_path: Path) -> None:
+    done = run(tmp_path, LINE.format(RED), tests=TESTS + "\n\ndef test_other():\n    assert False\n")
+    assert done.returncode == 1 and "FAILED tests/test_tiny.py::test_other" in done.stdout
+
+
+@pytest.mark.parametrize("more", [("--whole-suite",), ("-n", "2", "--whole-suite")])
+def test_a_name_that_no_test_has_fails_a_run_of_the_whole_suite(
+    more: tuple[str, ...], tmp_path: Path
+) -> None:
+    name = "tests/test_tiny.py::test_gone"
+    done = run(tmp_path, LINE.format(RED), LINE.format(name), more=more)
+    assert done.returncode == 1 and f"no test has this name: {name}" in done.stdout
+
+
+def test_a_run_of_a_part_asks_for_no_more_than_that_part(tmp_path: Path) -> None:
+    assert run(tmp_path, LINE.format(RED), more=(GREEN,)).returncode == 0
+
+
+UNUSABLE = {
+    "a fourth": [LINE.format(f"tests/test_tiny.py::test_{n}") for n in range(4)],
+    "no issue": [f"{RED} | bytes are lost at a close"],
+    "no cause": [f"{RED} |  | issue 7"],
+    "a name alone": [RED],
+    "twice": [LINE.format(RED)] * 2,
+}
+
+
+@pytest.mark.parametrize("case", UNUSABLE)
+def test_a_file_that_cannot_be_used_fails_the_run_before_any_test(case: str, tmp_path: Path) -> None:
+    done = run(tmp_path, *UNUSABLE[case])
+    assert done.returncode == pytest.ExitCode.USAGE_ERROR and "KNOWN-RED.txt: " in done.stderr
+    assert "test_tiny" not in done.stdout
+
+
+def test_ci_and_the_readme_run_the_whole_suite() -> None:
+    assert "    bash .ci/run\n" in (ROOT / "README.md").read_text()
+    assert "--whole-suite" in (ROOT / ".ci/run").read_text()
