--- a/paddlequay/net/connection.py
+++ b/paddlequay/net/connection.py
@@ -22,7 +22,10 @@
 
 
 class Connection:
-    """One connection to an instance, with the attempts that wait for it and those that are out on it."""
+    """One connection to an instance, with the attempts that wait for it and those that are out on it.
+
+    Raises OSError where the system gives no socket for it.
+    """
 
     def __init__(self, pool: "Pool", instance: "Instance") -> None:
         self.pool, self.instance, self.limits = pool, instance, pool.limits
@@ -37,6 +40,8 @@
         self.once = False  # all that went out on it must not run twice
         self.heard = self.used = pool.now()
         self.read_at = -math.inf  # the last byte, which an accepted connection is not
+        self.answer_began = -math.inf  # the first byte of the answer that is coming
+        self.coming: asyncio.Future[bytes] | None = None  # the read that is under way
 
     def takes(self, attempt: Attempt) -> bool:
         """Room for it, on a connection that answers.
@@ -61,27 +66,14 @@
         except (TimeoutError, StreamClosedError, OSError) as error:
             self.pool.counters.add("connect_failed")
             log.event(LOGGER, logging.INFO, "connect_failed", to=self.instance.name, why=type(error).__name__)
-            self.stream.close()
-            self.instance.forget(self)
-            for attempt in self.take_waiting():
-                self.pool.exchange.end(attempt, End(Outcome.UNREACHED))
-            return
-        self.stream.set_nodelay(True)
-        self.pool.counters.add("connected")
-        self.up = True
-        self.heard = self.pool.now()
-        self.write_waiting()
-        reads = 0
+            return self.lost()
         try:
-            while True:
-                data = await self.stream.read_bytes(self.limits.read_chunk, partial=True)
-                self.heard = self.read_at = self.pool.now()
-                self.silent = False
-                for answer in self.reader.feed(data):
-                    self.answered(answer)
-                reads += 1
-                if len(data) == self.limits.read_chunk or reads % 4 == 0:
-                    await asyncio.sleep(0)  # a read of what is there does not yield: others have a turn
+            self.stream.set_nodelay(True)
+            self.pool.counters.add("connected")
+            self.up = True
+            self.heard = self.used = self.pool.now()
+            self.write_waiting()
+            await self.read()
         except StreamClosedError:
             pass
         except wire.MalformedError as error:
@@ -92,6 +84,22 @@
             LOGGER.exception("cache_connection_failed")
         self.lost()
 
+    async def read(self) -> None:
+        reads = 0
+        while True:
+            self.coming = asyncio.ensure_future(self.stream.read_bytes(self.limits.read_chunk, partial=True))
+            data = await self.coming
+            self.heard = self.read_at = self.pool.now()
+            self.silent = False
+            if not self.reader.begun:
+                self.answer_began = self.heard
+            for answer in self.reader.feed(data):
+                self.answer_began = self.heard
+                self.answered(answer)
+            reads += 1
+            if len(data) == self.limits.read_chunk or reads % 4 == 0:
+                await asyncio.sleep(0)  # a read of what is there does not yield: others have a turn
+
     def lost(self) -> None:
         """The connection is over: what is out may have run, what waits has not."""
         self.stream.close()
@@ -100,22 +108,52 @@
         waiting = self.take_waiting()
         for attempt in out:
             self.pool.exchange.end(attempt, End(Outcome.RESET))
+        # That a run is over, as the list tells, is no failure of whoever bears its name now.
+        unwritten = Outcome.NOT_SENT if self.instance.gone else Outcome.UNREACHED
         for attempt in waiting:
-            self.pool.exchange.end(attempt, End(Outcome.UNREACHED))
+            self.pool.exchange.end(attempt, End(unwritten))
 
     def take_waiting(self) -> list[Attempt]:
         waiting = list(self.waiting)
         self.waiting.clear()
         return waiting
 
+    def peek(self) -> bytes | None:
+        """The next byte that lies in the socket, b"" where its end does, None where nothing has come."""
+        try:
+            return self.stream.socket.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return None
+        except OSError:
+            return b""
+
+    @property
+    def unread(self) -> bool:
+        """Whether bytes have come that were not looked at yet, as after a late turn of the loop."""
+        if self.stream.closed() or self.coming is None:
+            return False
+        return self.coming.done() or bool(self.peek())
+
     def write_waiting(self) -> None:
         """Write what waits, one at a time and only while the socket takes it, so that checks are fresh."""
         while self.up and self.waiting and not self.stream.closed() and not self.stream.writing():
+            if self.instance.gone:
+                # Its name may be back on the list, and would pass there, as another run at another address.
+                for attempt in self.take_waiting():
+                    self.pool.exchange.end(attempt, End(Outcome.NOT_SENT))
+                return
+            if (self.waiting[0].once or not self.out) and self.peek() == b"":
+                return self.ended_by_peer()
             attempt = self.waiting.popleft()
             order = self.pool.exchange.order(attempt)
             if order is None:
                 continue
             line = wire.ask(order.id, order_fields(order), len(order.body))
+            try:
+                self.send(b"".join((line, order.body, b"\r\n")))
+            except StreamClosedError:
+                self.waiting.appendleft(attempt)  # never written, and ends so
+                return
             self.out[attempt.id] = attempt
             self.once = attempt.once and (self.once or not self.written)
             self.written[attempt.id] = None
@@ -123,12 +161,25 @@
                 self.written.popitem(last=False)
             self.used = self.pool.now()
             self.pool.exchange.written(attempt)
-            try:
-                done = self.stream.write(b"".join((line, order.body, b"\r\n")))
-            except StreamClosedError:
-                return
-            if self.stream.writing():
-                done.add_done_callback(lambda _: self.write_waiting())
+
+    def ended_by_peer(self) -> None:
+        """A peer's close has come that was not read yet: what waits was never written and goes elsewhere.
+
+        Only where the connection has carried something: a peer that closes each new one would be asked
+        without end.
+        """
+        self.pool.counters.add("closed_by_cache")
+        self.stream.close()
+        if self.written:
+            self.instance.forget(self)
+            for attempt in self.take_waiting():
+                self.instance.start(attempt)
+
+    def send(self, data: bytes) -> None:
+        """Write to an open connection; what waits goes on as soon as the socket has taken all of it."""
+        done = self.stream.write(data)
+        if self.stream.writing():
+            done.add_done_callback(lambda _: self.write_waiting())
 
     def answered(self, answer: wire.Answer) -> None:
         attempt = self.out.get(answer.id)
@@ -137,8 +188,9 @@
             # Read before it is taken off: what cannot be read ends the connection and all that is out on it,
             # this attempt too, which else would have waited for its time-out.
             end = read_end(answer)
-            if end.unchanged and attempt.owner.ask.known is None:
-                raise wire.MalformedError("VALID to a request that named no copy")
+            known = attempt.owner.ask.known
+            if end.unchanged and (known is None or answer.fields.get("tag") != known):
+                raise wire.MalformedError("VALID that does not name the copy that was asked about")
             del self.out[answer.id]
             if attempt.written is not None:
                 self.instance.answer_took(attempt, self.used - attempt.written)
@@ -165,8 +217,8 @@
             elif in_vain and attempt.written is not None:
                 # At least so long: leaving out what was given up would make all waits look short in a jam.
                 self.pool.waits.took(attempt.owner.ask.class_name, now - attempt.written)
-            if not self.stream.closed():
-                self.stream.write(wire.quit_(attempt.id))
+            if self.pool.exchange.router.settings.can_cancel and not self.stream.closed():
+                self.send(wire.quit_(attempt.id))
         elif attempt in self.waiting:
             self.waiting.remove(attempt)
         return quiet
@@ -185,6 +237,24 @@
         since = self.unheard(self.heard)
         return len(since) >= self.limits.cache_unheard and self.instance.silence_of(since, now)
 
+    def stalled(self, now: float) -> bool:
+        """Whether the answer that is coming has stopped, or comes too slowly to be waited for.
+
+        All that is out behind it waits for its rest. At twice the pace so far, as an honest one may begin
+        slowly, that has to come while its own request may wait, or within `cache_silence` where nobody waits
+        for it. Else a byte now and then holds a connection with thirty requests on it until their time-outs.
+        """
+        took = now - self.answer_began
+        if not self.reader.begun or took <= self.limits.cache_stall:
+            return False
+        if now - self.heard > self.limits.cache_stall:
+            return True
+        share = self.reader.share
+        rest = took / share - took if share else math.inf
+        attempt = self.out.get(self.reader.answering or "")
+        left = 0.0 if attempt is None else attempt.expires - now
+        return rest > 2 * max(left, self.limits.cache_silence)
+
     @property
     def idle(self) -> bool:
         return self.up and not self.out and not self.waiting
