End a connection whose answers without end nobody asked for

Whole answers that nobody waits for are passed over, as each harms nothing. A cache that sends them without end kept its connection, and the core reading them: nothing bounded it. More in a row than ids are remembered (`cache_ids`) now count as spoilt and end that connection; one that is waited for begins the count anew.

test_answers_without_end_that_nobody_asked_for_end_their_connection fails without the mend. Two more tests show no fault: TCP_NODELAY is set before the first write, and connections cancelled at the end begin nothing new.

--- a/paddlequay/net/connection.py
+++ b/paddlequay/net/connection.py
@@ -40,6 +40,7 @@
         self.once = False  # all that went out on it must not run twice
         self.heard = self.used = pool.now()
         self.read_at = -math.inf  # the last byte, which an accepted connection is not
+        self.unasked = 0  # answers that nobody waited for, since the last other one
         self.answer_began = -math.inf  # the first byte of the answer that is coming
         self.coming: asyncio.Future[bytes] | None = None  # the read that is under way
 
@@ -192,6 +193,7 @@
             if end.unchanged and (known is None or answer.fields.get("tag") != known):
                 raise wire.MalformedError("VALID that does not name the copy that was asked about")
             del self.out[answer.id]
+            self.unasked = 0
             if attempt.written is not None:
                 self.instance.answer_took(attempt, self.used - attempt.written)
             self.pool.counters.add("received_bytes", len(answer.body))
@@ -200,6 +202,9 @@
             # Given up, answered before, or never asked: whole and well-formed, it harms nothing else. Taken
             # as a spoilt connection, one such answer ended all good ones that were on their way.
             self.pool.counters.add("answers_not_asked")
+            self.unasked += 1
+            if self.unasked > self.limits.cache_ids:
+                raise wire.MalformedError("answers without end that nobody asked for")
 
     def abandon(self, attempt: Attempt) -> bool:
         """Give an attempt up; and has nothing at all come since it was written?"""
--- a/tests/crossings/test_cache_connect.py
+++ b/tests/crossings/test_cache_connect.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import socket
 from pathlib import Path
 from typing import Any
 
@@ -133,3 +134,40 @@
         assert not rig.pool.instances["box"].connections
 
     play(tmp_path, scene)
+
+
+def test_no_small_write_is_held_back_by_the_system(tmp_path: Path) -> None:
+    async def scene(rig: Rig) -> None:
+        rig.ask("1")
+        await under_way(rig)
+        held_back: list[int] = []
+        written = rig.exchange.written
+
+        def noted(attempt: Attempt) -> None:
+            held_back.append(rig.only().stream.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY))
+            written(attempt)
+
+        rig.exchange.written = noted  # type: ignore[method-assign]
+        await rig.asked("box", "1")
+        assert len(held_back) == 1 and held_back[0]
+
+    play(tmp_path, scene)
+
+
+def test_connections_that_end_with_the_program_begin_nothing_new(tmp_path: Path) -> None:
+    """The loop cancels their tasks: what was out is the client's to repeat, and no attempt follows."""
+
+    async def scene(rig: Rig) -> None:
+        rig.ask("1")
+        rig.ask("2", "charge")
+        await rig.asked("box", "1")
+        await rig.asked("store", "2")
+        tasks = list(rig.pool.tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        assert all(task.cancelled() for task in tasks) and not rig.replies
+        assert rig.counters.counts["sent"] == 2 and not rig.counters.counts.get("ended.reset")
+        assert rig.peers["aimag"].accept() is None
+
+    play(tmp_path, scene)
--- a/tests/crossings/test_cache_words.py
+++ b/tests/crossings/test_cache_words.py
@@ -74,6 +74,26 @@
     play(tmp_path, scene)
 
 
+def test_answers_without_end_that_nobody_asked_for_end_their_connection(tmp_path: Path) -> None:
+    """Each is whole and harmless; without end, they keep the core from all others."""
+
+    async def scene(rig: Rig) -> None:
+        rig.ask("1")
+        connection = await rig.asked("box", "1")
+        most = rig.limits.cache_ids
+        connection.sendall(most * b"77 NONE - 0\r\n\r\n" + b"1 HIT - 1\r\nx\r\n")
+        await rig.until(lambda: rig.replies, "as many as there may be harm nobody")
+        assert bytes(rig.replies[0].body) == b"x"
+        connection.sendall(most * b"77 NONE - 0\r\n\r\n")
+        await rig.until(lambda: rig.counters.counts["answers_not_asked"] == 2 * most, "counted anew")
+        assert len(rig.pool.held()) == 1
+        connection.sendall(b"77 NONE - 0\r\n\r\n")
+        await rig.until(lambda: not rig.pool.held(), "one more in a row ends it")
+        assert rig.counters.counts["bad_cache_lines"] == 1
+
+    play(tmp_path, scene)
+
+
 def test_a_charge_that_came_too_late_never_ran_and_goes_another_way(tmp_path: Path) -> None:
     async def scene(rig: Rig) -> None:
         rig.ask("1", "charge")
