--- a/paddlequay/net/caches.py
+++ b/paddlequay/net/caches.py
@@ -1,8 +1,11 @@
 """Instances of caches, parents and the origin: which connection takes an attempt, and the pool of all."""
 
 import asyncio
+import errno
+import logging
 from collections.abc import Iterable
 
+from paddlequay import log
 from paddlequay.asks import Attempt, End
 from paddlequay.config import Address, Limits
 from paddlequay.counters import Counters
@@ -14,6 +17,8 @@
 from paddlequay.protocol.bulletin import Listed
 from paddlequay.shares import Shares
 
+LOGGER = logging.getLogger(__name__)
+
 
 class Instance:
     """One run of a cache, parent or the origin. A new run, or a new one at the same address, is another."""
@@ -25,6 +30,7 @@
         self.address: Address = listed.address
         self.connections: list[Connection] = []
         self.gone = False
+        self.over = False  # started anew: nothing more is written by this run
         self.pace = Pace()
 
     def answer_took(self, attempt: Attempt, time: float) -> None:
@@ -40,7 +46,7 @@
         return self.pool.waits.silent(ages, self.pace.over(self.pool.pace))
 
     def start(self, attempt: Attempt) -> None:
-        connection = self.choose(attempt)
+        connection = None if self.gone else self.choose(attempt)
         if connection is None:
             self.pool.counters.add("no_connection_left")
             return self.pool.exchange.end(attempt, End(Outcome.NOT_SENT))
@@ -71,19 +77,36 @@
                 self.forget(connection)
                 connection.stream.close()
         if len(self.connections) < limits.cache_connections and self.pool.has_room():
-            connection = Connection(self.pool, self)
-            self.connections.append(connection)
-            self.pool.spawn(connection)
-            return connection
+            return self.connect() or spare
         return spare
 
+    def connect(self) -> Connection | None:
+        """One more connection, which comes up later; None where the system gives no socket for it.
+
+        That is no fault of the member's: what was to go on it counts as not sent. The limits leave room for
+        all connections, but clients about to be closed, or a limit lowered in service, may have used it up.
+        """
+        for _ in range(2):
+            try:
+                connection = Connection(self.pool, self)
+            except OSError as error:
+                if self.pool.counters.add_once("no_socket"):
+                    log.event(LOGGER, logging.WARNING, "no_socket", to=self.name, why=str(error))
+                if error.errno not in (errno.EMFILE, errno.ENFILE) or not self.pool.close_idle():
+                    break
+            else:
+                self.connections.append(connection)
+                self.pool.spawn(connection)
+                return connection
+        return None
+
     def forget(self, connection: Connection) -> None:
         if connection in self.connections:
             self.connections.remove(connection)
 
     def watch(self, now: float) -> None:
-        """Close what has fallen silent under requests, and what stopped inside an answer: whatever comes next
-        on that one would be read as its rest."""
+        """Close what has fallen silent under requests, what stopped inside an answer, and what an older run
+        left unanswered. Never over unread bytes: they are read first, and judged at the next beat."""
         limits = self.pool.limits
         heard = max((connection.read_at for connection in self.connections), default=now)
         all_silent = False
@@ -91,13 +114,17 @@
             since = [each for connection in self.connections for each in connection.unheard(heard)]
             all_silent = len(since) >= limits.instance_unheard and self.silence_of(since, now)
         for connection in self.connections[:]:
-            if connection.reader.begun and now - connection.heard > self.pool.limits.cache_stall:
-                self.pool.counters.add("stalled_answers")
+            if connection.stalled(now):
+                cause = "stalled_answers"
             elif connection.dead(now) or (all_silent and connection.out):
-                self.pool.counters.add("silent_connections")
+                cause = "silent_connections"
+            elif self.over and connection.out:
+                cause = "answered_no_more"
             else:
                 continue
-            connection.stream.close()
+            if not connection.stream.closed() and not connection.unread:
+                self.pool.counters.add(cause)
+                connection.stream.close()
 
     def sweep(self, now: float) -> None:
         """Close what has been idle for long, what is silent and empty, and what a gone instance left.
@@ -156,17 +183,17 @@
         instance = self.instances.pop(name, None)
         if instance is None:
             return
-        instance.gone = True
+        instance.gone, instance.over = True, at_once
         self.leaving.append(instance)
         for connection in instance.connections[:]:
-            if at_once or connection.idle:
+            if connection.idle or (at_once and not connection.unread):
                 connection.stream.close()
 
     def ordered(self, name: str) -> None:
         """Operators leave a cache out, or put it back: what is idle to it may lead nowhere any more."""
         instance = self.instances.get(name.removeprefix(OUT)) if name.startswith(OUT) else None
         for connection in instance.connections[:] if instance is not None else ():
-            if connection.idle or connection.silent:
+            if connection.idle or (connection.silent and not connection.unread):
                 connection.stream.close()
 
     def held(self) -> list[Connection]:
@@ -176,10 +203,8 @@
         """Have a connection to each of these before the first request comes."""
         made = []
         for instance in [self.instances[name] for name in names if name in self.instances]:
-            if not instance.connections and self.has_room():
-                made.append(Connection(self, instance))
-                instance.connections.append(made[-1])
-                self.spawn(made[-1])
+            if not instance.connections and self.has_room() and (connection := instance.connect()):
+                made.append(connection)
         while any(not each.up and not each.stream.closed() for each in made):
             await asyncio.sleep(0.01)
 
@@ -192,10 +217,11 @@
 
     def has_room(self) -> bool:
         """Room for one more connection to any instance; the one that has been idle for longest makes it."""
-        held = self.held()
-        if len(held) < self.shares.caches:
-            return True
-        idle = [connection for connection in held if connection.idle and not connection.stream.closed()]
+        return len(self.held()) < self.shares.caches or self.close_idle()
+
+    def close_idle(self) -> bool:
+        """Close the connection that has been idle for longest, if there is one."""
+        idle = [each for each in self.held() if each.idle and not each.stream.closed()]
         if idle:
             min(idle, key=lambda connection: connection.used).stream.close()
         return bool(idle)
