Keep the list's word where putting it in force breaks off, and a DNS question without a socket

The membership had a change before pool and exchange did: one that failed there was no news at the second try, so a drain never reached the decisions. Changes that fail are now put in force one by one, and what fails again is told at each beat. An event of the list that fails each time is put in force entry by entry before it is passed over: one member takes no other with it, and a drain or an end binds what is written even where the pool fails. A report past the bound of members was refused with its drains; what it says of known members now holds. `Driver.by_tcp` made its socket outside its `try`: EMFILE ended the task, and the question stayed open until its time was over.

--- a/paddlequay/net/bulletin.py
+++ b/paddlequay/net/bulletin.py
@@ -68,9 +68,36 @@
         self.pool.list_changed(listed, item.full)
         self.exchange.list_changed(tuple(entry.member for entry in listed), item.full)
 
+    def pass_over(self, event: Roster | Recall) -> None:
+        if isinstance(event, Roster):
+            listed = [*event.listed, *self.drained(event.drained)]
+            if self.on_roster != self.direct:  # who comes is for the membership to say
+                listed = [entry for entry in listed if entry.member.state is not State.READY]
+            one_by_one(self.pool, self.exchange, listed)
+
     def drained(self, names: Iterable[str]) -> Iterable[Listed]:
         """Members as they are known, but out of service."""
         for name in names:
             member, instance = self.exchange.members.get(name), self.pool.instances.get(name)
             if member is not None and instance is not None:
                 yield Listed(replace(member, state=State.DRAINING), instance.address)
+
+
+def one_by_one(pool: Pool, exchange: Exchange, listed: Iterable[Listed]) -> set[str]:
+    """Put in force what can be, after a whole list failed; the names of those that failed again.
+
+    A drain or an end binds what is decided and written even where the pool cannot follow it.
+    """
+    failed = set()
+    for entry in listed:
+        try:
+            pool.list_changed((entry,), False)
+        except Exception:
+            failed.add(entry.member.name)
+            if entry.member.state is State.READY:
+                continue
+        try:
+            exchange.list_changed((entry.member,), False)
+        except Exception:
+            failed.add(entry.member.name)
+    return failed
--- a/paddlequay/net/dns.py
+++ b/paddlequay/net/dns.py
@@ -93,8 +93,10 @@
     async def by_tcp(self, send: Send) -> None:
         """One question on one connection (RFC 7766 allows more; truncated answers are rare)."""
         family = socket.AF_INET6 if ":" in send.server[0] else socket.AF_INET
-        stream = IOStream(socket.socket(family, socket.SOCK_STREAM), max_buffer_size=2 * ANSWER_MOST)
+        stream: IOStream | None = None
         try:
+            # Where no descriptor is left, that ends this question's turn like any other failure.
+            stream = IOStream(socket.socket(family, socket.SOCK_STREAM), max_buffer_size=2 * ANSWER_MOST)
             async with asyncio.timeout(send.longest):
                 await stream.connect(send.server)
                 await stream.write(LENGTH.pack(len(send.data)) + send.data)
@@ -104,7 +106,8 @@
             why = f"TCP {type(error).__name__}"
             return self.carry(self.resolver.failed(send.number, why, self.now()))
         finally:
-            stream.close()
+            if stream is not None:
+                stream.close()
         self.carry(self.resolver.received(send.number, data, send.server, self.now()))
 
     async def run(self) -> None:
--- a/paddlequay/net/lines.py
+++ b/paddlequay/net/lines.py
@@ -90,6 +90,9 @@
         """Put an event in force. Called again for one that failed: taken twice, it comes to the same."""
         raise NotImplementedError
 
+    def pass_over(self, event: E) -> None:
+        """An event failed each time: what can be saved of it. Raises nothing."""
+
     def heartbeat(self, number: int) -> None:
         """No event is out beyond those had."""
 
@@ -266,4 +269,5 @@
                     raise MalformedError(f"{number} failed: {type(error).__name__}") from None
                 if self.counters.add_once(f"{self.name}_passed_over"):
                     log.event(LOGGER, logging.ERROR, f"{self.name}_passed_over", number=number)
+                self.pass_over(news)
         self.last, self.stuck = number, 0
--- a/paddlequay/net/members.py
+++ b/paddlequay/net/members.py
@@ -16,7 +16,7 @@
 from paddlequay.discovery.srv import Follower as ServiceFollower
 from paddlequay.exchange import Exchange
 from paddlequay.interface import Member, State
-from paddlequay.net.bulletin import Follower
+from paddlequay.net.bulletin import Follower, one_by_one
 from paddlequay.net.caches import Pool
 from paddlequay.net.dns import Driver
 from paddlequay.protocol.bulletin import Listed, Roster
@@ -52,6 +52,7 @@
         self.services: list[ServiceFollower] = []
         self.driver: Driver | None = None
         self.wanted: set[tuple[Name, Kind]] = set()
+        self.untold: dict[str, Change] = {}  # by id; bounded by the members
         self.dirty = False
         self.unsaved = False
         self.saved_at = self.reported = 0.0
@@ -97,14 +98,23 @@
     def report(self, source: str, boxes: Iterable[Box], full: bool) -> None:
         if not self.has(source):
             return
+        boxes, now = tuple(boxes), self.now()
         try:
-            self.apply(self.membership.report(source, boxes, full, self.now()))
+            self.apply(self.membership.report(source, boxes, full, now))
         except TooManyError as error:
-            self.counters.add("members_refused")
-            log.event(LOGGER, logging.WARNING, "members_refused", why=str(error))
+            if self.counters.add_once("members_refused"):
+                log.event(LOGGER, logging.WARNING, "members_refused", why=str(error))
+            # What it says of those that are members holds all the same: drains and ends above all.
+            words = self.membership.sources[source].words
+            named = [box for box in boxes if box.id in words]
+            self.apply(self.membership.report(source, named, False, now))
 
     def roster(self, item: Roster) -> None:
-        self.report("list", map(box_of, item.listed), item.full)
+        if not self.has("list"):
+            return
+        words = self.membership.sources["list"].words
+        drained = [replace(words[id].box, state=State.DRAINING) for id in item.drained if id in words]
+        self.report("list", [*map(box_of, item.listed), *drained], item.full)
 
     def alive(self) -> None:
         if self.has("list"):
@@ -166,13 +176,27 @@
             self.tasks = [task for task in self.tasks if not task.done()]
 
     def apply(self, changes: list[Change]) -> None:
-        """Changes to pool and exchange, the pool first: a decision may send to whom it names."""
-        if not changes:
+        """Changes to pool and exchange, the pool first: a decision may send to whom it names.
+
+        Those that could not be told are told again at each beat: the membership has them already.
+        """
+        for change in changes:
+            self.untold.pop(change.box.id, None)
+            self.untold[change.box.id] = change
+        if not self.untold:
             return
         self.unsaved = True
+        changes, self.untold = list(self.untold.values()), {}
         listed = tuple(map(listed_of, changes))
-        self.pool.list_changed(listed, False)
-        self.exchange.list_changed(tuple(entry.member for entry in listed), False)
+        try:
+            self.pool.list_changed(listed, False)
+            self.exchange.list_changed(tuple(entry.member for entry in listed), False)
+        except Exception:
+            if self.counters.add_once("members_errors"):
+                LOGGER.exception("members_failed")
+            failed = one_by_one(self.pool, self.exchange, listed)
+            self.untold = {change.box.id: change for change in changes if change.box.id in failed}
+            changes = [change for change in changes if change.box.id not in failed]
         for change in changes:
             self.counters.add(f"members.{change.rule}")
             log.event(
--- /dev/null
+++ b/tests/crossings/test_list_members.py
@@ -0,0 +1,158 @@
+"""What becomes of the list's word in pool, exchange and membership where putting it in force breaks off."""
+
+import asyncio
+import errno
+from collections.abc import Iterable
+from pathlib import Path
+from typing import Any, cast
+
+import pytest
+from rig_list import entry, roster
+from test_watch import made
+
+from paddlequay.counters import Counters
+from paddlequay.discovery.membership import Limits, Rule
+from paddlequay.discovery.resolver import Send
+from paddlequay.exchange import Exchange
+from paddlequay.interface import State
+from paddlequay.net import dns
+from paddlequay.net.bulletin import Follower
+from paddlequay.net.caches import Pool
+from paddlequay.net.members import Members
+from paddlequay.protocol.bulletin import Heartbeat, Listed, MalformedError, read_news
+from paddlequay.schema.sources import DiscoverySettings
+
+TERMINATING = "terminating"
+
+
+class Breaking(Pool):
+    """Breaks off in the middle of a list, after some of it is in force, or always where a member is named."""
+
+    broken = 0
+    poison: str | None = None
+
+    def list_changed(self, listed: Iterable[Listed], full: bool) -> None:
+        listed = tuple(listed)
+        if any(entry.member.name == self.poison for entry in listed):
+            raise RuntimeError("fails always")
+        if self.broken:
+            self.broken -= 1
+            super().list_changed(listed[:1], full)
+            raise RuntimeError("breaks off")
+        super().list_changed(listed, full)
+
+
+def followed(tmp_path: Path) -> tuple[Follower, Exchange, Breaking]:
+    exchange, _, _ = made(tmp_path)
+    pool = Breaking(exchange, exchange.shares, exchange.limits, exchange.counters)
+    follower = Follower(("127.0.0.1", 1), exchange, pool, exchange.limits, exchange.counters)
+    follower.start_from({"no": 1, "items": [roster(1, entry("a"), entry("b", hostPort="10.0.0.2:80"))]})
+    return follower, exchange, pool
+
+
+def discovered(tmp_path: Path, most: int = 100) -> tuple[Follower, Exchange, Breaking, Members]:
+    """The same with the list as a source of the membership."""
+    exchange, _, _ = made(tmp_path)
+    pool = Breaking(exchange, exchange.shares, exchange.limits, exchange.counters)
+    follower = Follower(("127.0.0.1", 1), exchange, pool, exchange.limits, exchange.counters)
+    settings = DiscoverySettings((Rule("list"),), (), (), None, Limits(members=most))
+    members = Members(settings, follower, exchange, pool, exchange.counters, "n0")
+    follower.start_from({"no": 1, "items": [roster(1, entry("a"), entry("b", hostPort="10.0.0.2:80"))]})
+    return follower, exchange, pool, members
+
+
+def tell(follower: Follower, item: Any) -> None:
+    """Each event as often as it is asked for anew."""
+    while follower.last < item["no"]:
+        try:
+            news = read_news(item)
+            assert not isinstance(news, Heartbeat)
+            follower.apply(news)
+        except MalformedError:
+            follower.stuck += 1
+
+
+def states(exchange: Exchange) -> dict[str, State | None]:
+    return {name: member.state for name, member in exchange.members.items() if name in ("a", "b", "c")}
+
+
+@pytest.mark.parametrize("discovery", [False, True])
+def test_a_list_that_broke_off_in_the_pool_is_in_force_whole_after_the_next_try(
+    tmp_path: Path, discovery: bool
+) -> None:
+    """The membership has it after the first try, and told nothing of it at the second."""
+    follower, exchange, pool = discovered(tmp_path)[:3] if discovery else followed(tmp_path)
+    pool.broken = 1
+    words = [
+        entry("c", hostPort="10.0.0.3:80"),
+        entry("a", lifecycle=TERMINATING),
+        entry("b", lifecycle="terminated"),
+    ]
+    tell(follower, roster(2, *words))
+    assert states(exchange) == {"a": State.DRAINING, "c": State.READY}
+    assert pool.instances.keys() == {"a", "c"}
+    assert exchange.counters.counts["members_errors" if discovery else "bulletin_errors"] == 1
+
+
+@pytest.mark.parametrize("discovery", [False, True])
+def test_a_member_that_fails_each_time_takes_no_other_with_it_and_drains_all_the_same(
+    tmp_path: Path, discovery: bool
+) -> None:
+    follower, exchange, pool = discovered(tmp_path)[:3] if discovery else followed(tmp_path)
+    pool.poison = "b"
+    words = [entry("c", hostPort="10.0.0.3:80"), entry("b", lifecycle=TERMINATING, hostPort="10.0.0.2:80")]
+    tell(follower, roster(2, *words))
+    assert states(exchange) == {"a": State.READY, "b": State.DRAINING, "c": State.READY}
+    tell(follower, roster(3, entry("a", lifecycle="terminated")))
+    assert states(exchange) == {"b": State.DRAINING, "c": State.READY}
+    follower.on_alive()
+    pool.poison = None
+    follower.on_alive()
+    assert pool.instances.keys() == {"b", "c"}
+
+
+@pytest.mark.parametrize("discovery", [False, True])
+def test_a_drain_by_id_alone_keeps_what_is_known_of_its_member(tmp_path: Path, discovery: bool) -> None:
+    follower, exchange, pool = discovered(tmp_path)[:3] if discovery else followed(tmp_path)
+    instance = pool.instances["b"]
+    drains = [{"instanceId": name, "lifecycle": TERMINATING} for name in ("b", "nobody")]
+    tell(follower, roster(2, *drains, entry("c", hostPort="10.0.0.3:80")))
+    assert states(exchange) == {"a": State.READY, "b": State.DRAINING, "c": State.READY}
+    assert pool.instances["b"] is instance and instance.address == ("10.0.0.2", 80)  # its work goes on
+    assert not exchange.usable("b") and exchange.usable("c") and "nobody" not in exchange.members
+    assert exchange.counters.counts["unusable_entries"] == 2
+    tell(follower, roster(3, entry("b", hostPort="10.0.0.2:80")))
+    assert exchange.usable("b") and pool.instances["b"] is instance
+
+
+def test_a_report_past_the_bound_of_members_is_refused_but_for_those_it_drains(tmp_path: Path) -> None:
+    follower, exchange, _, _ = discovered(tmp_path, most=4)
+    many = [entry(f"m{n}", hostPort=f"10.1.0.{n}:80") for n in range(1, 9)]
+    tell(follower, roster(2, *many, entry("a", lifecycle=TERMINATING), entry("b", lifecycle="terminated")))
+    assert states(exchange) == {"a": State.DRAINING} and "m1" not in exchange.members
+    assert exchange.counters.counts["members_refused"] == 1
+
+
+def test_a_question_by_tcp_for_which_no_descriptor_is_left_has_failed_and_is_over(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Its task died of the error, and the question was open until its time was over."""
+
+    class Resolver:
+        why: str | None = None
+
+        def failed(self, number: int, why: str, now: float) -> list[Any]:
+            self.why = why
+            return []
+
+    def full(*_: object) -> None:
+        raise OSError(errno.EMFILE, "no descriptor is left")
+
+    async def work() -> None:
+        resolver = Resolver()
+        driver = dns.Driver(cast(Any, resolver), Counters(), lambda: 0.0, lambda _: None)
+        monkeypatch.setattr("paddlequay.net.dns.socket.socket", full)
+        await driver.by_tcp(Send(1, ("127.0.0.1", 53), b"", True, 1.0))
+        assert resolver.why == "TCP OSError"
+
+    asyncio.run(work())
