--- a/paddlequay/protocol/bulletin.py
+++ b/paddlequay/protocol/bulletin.py
@@ -1,6 +1,5 @@
 """The bulletin: numbered lines of JSON in, `after N` out. Knows no socket."""
 
-import ipaddress
 import json
 import re
 from collections.abc import Callable, Iterator, Mapping
@@ -12,6 +11,7 @@
 STATES = {"in_service": State.READY, "terminating": State.DRAINING, "terminated": State.GONE}
 NUMBER_MOST = 1 << 53  # JSON's whole numbers; one past all that follow would have these taken as had
 ID = re.compile(r"[!-+\--~]{1,200}")  # it is written to caches as a field's value: no space, no comma
+ADDRESS = re.compile(r"((?:0|[1-9][0-9]{0,2})(?:\.(?:0|[1-9][0-9]{0,2})){3}):([0-9]{1,5})")
 
 T = TypeVar("T")
 
@@ -88,18 +88,11 @@
 
 def figure(value: Any, name: str) -> float:
     """A number that is neither negative nor past all that is meant (nor NaN)."""
-    if isinstance(value, bool) or not isinstance(value, int | float) or not 0 <= value < NUMBER_MOST:
+    if type(value) not in (int, float) or not 0 <= value < NUMBER_MOST:
         raise MalformedError(f"{name}: expected a number, got {str(value)[:40]!r}")
     return float(value)
 
 
-def optional(item: Mapping[str, Any], name: str, kind: type[T]) -> T | None:
-    value = item.get(name)
-    if value is not None and (not isinstance(value, kind) or isinstance(value, bool)):
-        raise MalformedError(f"{name}: expected {kind.__name__}, got {str(value)[:40]!r}")
-    return value
-
-
 def read_id(item: Mapping[str, Any]) -> str:
     name = item.get("instanceId")
     if not isinstance(name, str) or not ID.fullmatch(name):
@@ -109,14 +102,11 @@
 
 def read_address(at: Any) -> tuple[str, int]:
     """An IPv4 address and a port. No host's name: to look one up would hold up the program."""
-    host, _, port = at.rpartition(":") if isinstance(at, str) else ("", "", "")
-    try:
-        ipaddress.IPv4Address(host)
-    except ValueError:
-        port = ""
-    if not (port.isascii() and port.isdecimal() and 0 < int(port[:6]) < 65536):
+    match = ADDRESS.fullmatch(at) if isinstance(at, str) else None
+    port = int(match[2]) if match else 0
+    if match is None or not 0 < port < 65536 or any(int(part) > 255 for part in match[1].split(".")):
         raise MalformedError(f"hostPort: expected an address and a port, got {str(at)[:60]!r}")
-    return host, int(port)
+    return match[1], port
 
 
 def read_listed(item: Any) -> Listed:
@@ -128,16 +118,22 @@
         raise MalformedError(f"lifecycle: {str(word)[:40]!r} is not known")
     if state is State.GONE:
         return Listed(Member(name=name, state=state), ("", 0))  # what has gone needs nothing else any more
+    zone, kind, cell = item.get("zone"), item.get("machineType"), item.get("cell")
+    # Looked at in one line each: a list of thousands is read in one turn of the loop.
+    if not ((zone is None or type(zone) is str) and (kind is None or type(kind) is str)):
+        raise MalformedError(f"zone, machineType: expected text, got {str((zone, kind))[:60]}")
+    if not (cell is None or type(cell) is int):
+        raise MalformedError(f"cell: expected a whole number, got {str(cell)[:40]!r}")
     started, weight = item.get("startedAtMs"), item.get("weight")
     return Listed(
         Member(
-            name=name,
-            zone=optional(item, "zone", str),
-            kind=optional(item, "machineType", str),
-            cell=optional(item, "cell", int),
-            state=state,
-            weight=None if weight is None else figure(weight, "weight"),
-            started=0.0 if started is None else figure(started, "startedAtMs") / 1000.0,
+            name,
+            zone,
+            kind,
+            cell,
+            state,
+            None if weight is None else figure(weight, "weight"),
+            figure(started, "startedAtMs") / 1000.0 if started else 0.0,
         ),
         read_address(item.get("hostPort")),
     )
