Act on all that a client has sent, and close its connection over nothing unread

Calls now wait until the socket is read empty, for 0.03 s at most (`Session.read`, `queue`, `make`). Who is held back is read on; what waits is bounded in number by the 32 of a connection and in bytes over all of them, and is refused when its time is nearly over or connections are to go. The session passes `gone` to the exchange: one look at the socket (net/unread.py), none within 0.01 s of the last; it also finds a cancel that lies unread. A flood of what is only turned away, behind which a cancel may lie, has what it is owed given up.

One way of closing where nothing is wrong, `close_at_rest`: nothing owed, unsent or unread, in the same turn. At a fault, and at the end of a drain, `Session.end`: what is open gets its answer, the writing side is shut, what comes is passed over, and it closes with the client or after 0.3 s. Half a close counts as a close, as nothing tells them apart; the stream takes it so as well.

No fault, shown by tests that pass without the mend: bytes counted as unsent come back however a connection ends; ids used anew, the largest too; cancel and answer in one turn; half a request; a byte at a time.

--- a/paddlequay/net/client_words.py
+++ b/paddlequay/net/client_words.py
@@ -1,10 +1,10 @@
-"""A client's call as a request in the exchange's terms; what no cache could use is refused here."""
+"""A client's call in the exchange's terms; what no cache could use is refused here. Replies as bytes."""
 
 import re
 from collections.abc import Mapping
 from typing import Any
 
-from paddlequay.asks import Ask
+from paddlequay.asks import Ask, Buffer, Reply, Verdict
 from paddlequay.config import Limits
 from paddlequay.interface import RequestClass
 from paddlequay.protocol import clients as wire
@@ -65,3 +65,18 @@
         known=pick(fields, "seen", HEX, False),
         retry=pick(fields, "rep", MARK, False) == "1",
     )
+
+
+def write_reply(number: int, reply: Reply) -> tuple[Buffer, ...]:
+    """The final answer to a call, in pieces."""
+    match reply.verdict:
+        case Verdict.SERVED:
+            return wire.served_answer(number, reply.body, {})
+        case Verdict.UNCHANGED:
+            return wire.served_answer(number, b"", {"current": "1"})
+        case Verdict.REFUSED:
+            wait = reply.retry_in
+            fields = {} if wait is None else {"pushback": str(max(1, round(wait * 1000)))}
+            return (wire.error_answer(number, wire.REFUSED, fields),)
+        case Verdict.FAILED:
+            return (wire.error_answer(number, wire.FAILED, {}),)
--- a/paddlequay/net/clients.py
+++ b/paddlequay/net/clients.py
@@ -4,6 +4,7 @@
 import socket
 from collections import OrderedDict
 from collections.abc import Callable
+from itertools import islice
 
 from tornado.iostream import IOStream
 
@@ -17,6 +18,8 @@
 from paddlequay.operation import DRAIN, Operation
 from paddlequay.shares import Shares
 
+CANDIDATES = 8  # asked for room in each state: thousands of connections are not searched for one
+
 
 class Front:
     """The clients' door and their connections. Another front beside it would speak to the same exchange."""
@@ -35,7 +38,8 @@
         self.exchange, self.shares, self.limits, self.counters = exchange, shares, limits, counters
         self.sessions: set[Session] = set()
         # Who waits with nothing owed, the longest first: before the first byte, with one piece of a message,
-        # with several, and after a whole one.
+        # with several, after a whole one, and at its end.
+        self.parting: OrderedDict[Session, None] = OrderedDict()
         self.mute: OrderedDict[Session, None] = OrderedDict()
         self.begun: OrderedDict[Session, None] = OrderedDict()
         self.moving: OrderedDict[Session, None] = OrderedDict()
@@ -44,6 +48,7 @@
         self.load = load
         self.too_busy = Reply(Verdict.REFUSED, retry_in=limits.shed_pushback)
         self.unsent = 0
+        self.queued = 0  # bytes of bodies of calls that are read and not made yet
         self.listener: socket.socket | None = None
         self.stop_listening: Callable[[], None] | None = None
         self.ending = False  # SIGTERM has come
@@ -63,6 +68,11 @@
     def most_unsent(self) -> float:
         return self.limits.all_unsent * self.shares.part
 
+    @property
+    def most_queued(self) -> float:
+        """A bound of its own beside that of the exchange, for who is held back or read ahead."""
+        return self.limits.held_bodies * self.shares.part / 2
+
     def takes(self) -> bool:
         """What the platform is told that asks at the clients' address, where two processes are one router."""
         return not self.operation.draining and (not self.ending or self.replaced)
@@ -92,13 +102,20 @@
             self.turning_away = self.turning_away or since >= limits.drain_refuse
             if since >= limits.drain_surrender:
                 self.exchange.surrender()
-            if since >= limits.drain_close:
-                for session in list(self.sessions):
-                    self.counters.add("closed_by_drain")
-                    session.stream.close()
         if self.shedding:
             for session in list(self.sessions):
+                if session.held:
+                    session.make()
                 session.close_if_quiet()
+        if self.drained_at is not None and self.now() - self.drained_at >= self.limits.drain_close:
+            self.end_sessions("closed_by_drain")
+
+    def end_sessions(self, cause: str) -> None:
+        """End all connections that are left, each with its answers; they close within `session.LINGER`."""
+        for session in list(self.sessions):
+            if not session.ended and not session.stream.closed():
+                self.counters.add(cause)
+                session.end()
 
     def closed_for(self) -> str:
         """Why this process takes no clients; empty while it does."""
@@ -158,37 +175,46 @@
         nothing would else push out who asks. Then the one idle for longest: its client sends again what
         crosses the close. Who goes on with a message makes room only where there is nobody else.
         """
-        limits, now = self.limits, self.now()
+        now = self.now()
         order = (
-            (self.mute, 0.0),
-            (self.begun, 0.0),
-            (self.moving, limits.moving),
-            (self.idle, 0.0),
-            (self.moving, 0.0),
+            (self.mute, 0.0, Session.close_unspoken),
+            (self.begun, 0.0, Session.close_unspoken),
+            (self.parting, 0.0, Session.close_parting),
+            (self.moving, self.limits.moving, Session.close_at_rest),
+            (self.idle, 0.0, Session.close_at_rest),
+            (self.moving, 0.0, Session.close_at_rest),
         )
-        for waiting, least in order:
-            longest = next(iter(waiting), None)
-            if longest is not None and now - longest.used >= least:
-                del waiting[longest]
-                longest.stream.close()
-                self.sessions.discard(longest)
-                self.counters.add("closed_idle_clients" if waiting is self.idle else "closed_silent_clients")
-                return True
+        for waiting, least, close in order:
+            # Whose request has come and is not read yet is passed over; a few are asked, not all.
+            for longest in list(islice(waiting, CANDIDATES)):
+                if now - longest.used < least:
+                    break
+                if close(longest):
+                    del waiting[longest]
+                    self.sessions.discard(longest)
+                    idle = waiting is self.idle
+                    self.counters.add("closed_idle_clients" if idle else "closed_silent_clients")
+                    return True
         return False
 
     def sweep(self) -> None:
-        """Close the connections whose client has long taken nothing, sent nothing whole or asked nothing."""
+        """Close the connections whose client has long taken nothing, sent nothing whole or asked nothing.
+
+        What has come since and is unread is looked at first: such a connection is left for the next time.
+        """
         now, limits = self.now(), self.limits
         for session in list(self.sessions):
+            if session.held:
+                session.make()
             since = session.half
             if since is None and not session.spoken:
                 since = session.began
             if session.unsent and now - session.moved > limits.client_stall:
                 self.counters.add("slow_readers")
-            elif since is not None and not session.open and now - since > limits.client_silent:
-                self.counters.add("silent_clients")
-            elif not session.open and not session.unsent and now - session.used > limits.client_idle:
+                session.stream.close()
+            elif since is not None and now - since > limits.client_silent:
+                if session.at_rest():
+                    self.counters.add("silent_clients")
+                    session.end()  # the rest of its message may come yet
+            elif now - session.used > limits.client_idle and session.close_at_rest():
                 self.counters.add("closed_idle_clients")
-            else:
-                continue
-            session.stream.close()
--- a/paddlequay/protocol/clients.py
+++ b/paddlequay/protocol/clients.py
@@ -1,5 +1,6 @@
 """The clients' side: MessagePack-RPC messages in, answers out. Knows no socket."""
 
+import contextlib
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -9,6 +10,7 @@
 
 REQUEST, RESPONSE, NOTIFICATION = 0, 1, 2
 REFUSED, FAILED = "TryLater", "Aborted"
+CANCEL = b"cancelRequest"  # in whatever takes a request back
 
 
 @dataclass(slots=True)
@@ -56,6 +58,23 @@
         except IncompleteError:
             self.rest = data[at:]
 
+    def completes(self, data: bytes) -> bool:
+        """Whether `data`, which is not fed yet, makes a message whole; what can be none does not."""
+        try:
+            msgpack.unpack(self.rest + data, 0, self.most)
+        except (IncompleteError, MalformedError):
+            return False
+        return True
+
+    def withdrawn(self, data: bytes) -> set[int]:
+        """What `data`, which is not fed yet, takes back; what is no message ends it early."""
+        ahead, numbers = Reader(self.most), set[int]()
+        with contextlib.suppress(MalformedError):
+            for told in ahead.feed(self.rest + data):
+                if isinstance(told, Withdrawn):
+                    numbers.update(told.numbers)
+        return numbers
+
 
 def is_number(value: Any) -> bool:
     return isinstance(value, int) and not isinstance(value, bool) and value >= 0
--- /dev/null
+++ b/tests/crossings/test_clients_closing.py
@@ -0,0 +1,223 @@
+"""A connection that the router closes while bytes come in: no request that lies there is reset."""
+
+import asyncio
+import contextlib
+import socket
+import time
+from pathlib import Path
+
+import pytest
+from rig_clients import Rig, answers, arrived, call, play, turns, until
+
+from paddlequay.operation import DRAIN
+from paddlequay.protocol import msgpack
+
+
+async def idle(rig: Rig, number: int = 1) -> tuple[socket.socket, socket.socket]:
+    """A client that was answered and asks nothing; its own socket and the router's."""
+    client, session = await rig.client()
+    client.sendall(msgpack.pack([0, number, "alive", [{}]]))
+    assert (await answers(client, 1))[0][3][0] is True
+    await until(lambda: session in rig.front.idle and session.stream.reading(), "it is idle")
+    client.settimeout(5.0)
+    return client, session.stream.socket
+
+
+@pytest.mark.parametrize("read", [False, True])
+def test_who_makes_room_is_not_the_one_whose_request_has_just_come(tmp_path: Path, read: bool) -> None:
+    """Unread in the system, or read in this very turn by the stream and not by its session yet."""
+
+    async def scene(rig: Rig) -> None:
+        client, taken = await idle(rig)
+        other, _ = await idle(rig)
+        if read:
+            listener = rig.listener
+            listener.setblocking(False)
+            loop = asyncio.get_running_loop()
+            loop.add_reader(listener, lambda: rig.front.accepted(listener.accept()[0]))
+        client.sendall(call(2))
+        arrived(taken)
+        if read:
+            # Both are told by one turn of the loop, the request's bytes first.
+            rig.clients.append(socket.create_connection(listener.getsockname()))
+        else:
+            rig.front.accepted(rig.connect()[1])
+        await until(lambda: rig.side.started, "the request is sent on")
+        rig.serve(rig.side.started[0])
+        assert (await answers(client, 1))[0][3][0] == b"x"
+        assert await answers(other) == [] and rig.counters.counts["closed_idle_clients"] == 1
+
+    play(tmp_path, scene, client_connections=2)
+
+
+def test_room_is_made_though_the_first_candidates_have_just_sent_something(tmp_path: Path) -> None:
+    async def scene(rig: Rig) -> None:
+        all_ = [await idle(rig) for _ in range(4)]
+        for client, taken in all_[:3]:
+            client.sendall(call(2))
+            arrived(taken)
+        rig.front.accepted(rig.connect()[1])
+        assert rig.counters.counts["turned_away_connections"] == 0
+        assert await answers(all_[3][0]) == []
+
+    play(tmp_path, scene, client_connections=4)
+
+
+def test_who_sends_a_byte_at_the_moment_of_another_s_connect_pushes_nobody_out(tmp_path: Path) -> None:
+    """Passed over for a byte that is unread, those that say nothing whole left the idle one to make room."""
+
+    async def scene(rig: Rig) -> None:
+        usual, _ = await idle(rig)
+        silent = [await rig.client() for _ in range(3)]
+        for client, session in silent:
+            client.sendall(b"\x94")
+            arrived(session.stream.socket)
+        for _ in range(3):
+            rig.take(rig.connect()[1])
+        assert rig.counters.counts["closed_silent_clients"] == 3
+        await turns()
+        usual.sendall(call(2))
+        await until(lambda: rig.side.started, "the request is sent on")
+
+    play(tmp_path, scene, client_connections=4)
+
+
+@pytest.mark.parametrize("state", ["idle", "mute", "half"])
+def test_the_sweep_leaves_a_connection_on_which_something_has_just_come(tmp_path: Path, state: str) -> None:
+    async def scene(rig: Rig) -> None:
+        if state == "mute":
+            client, session = await rig.client()
+            taken, rest = session.stream.socket, call(2)
+        else:
+            client, taken = await idle(rig)
+            rest = call(2)
+        if state == "half":
+            client.sendall(rest[:20])
+            await until(lambda: rig.front.begun, "half of it is read")
+            rest = rest[20:]
+        time.sleep(0.06)  # what the sweep allows; the loop stands still
+        client.sendall(rest)
+        arrived(taken)
+        rig.front.sweep()
+        await until(lambda: rig.side.started, "the request is sent on")
+        rig.serve(rig.side.started[0])
+        assert (await answers(client, 1))[0][3][0] == b"x"
+
+    play(tmp_path, scene, client_idle=0.05, client_silent=0.05)
+
+
+@pytest.mark.parametrize("state", ["idle", "mute", "half"])
+def test_the_sweep_closes_who_has_said_nothing_for_long(tmp_path: Path, state: str) -> None:
+    async def scene(rig: Rig) -> None:
+        client = (await rig.client())[0] if state == "mute" else (await idle(rig))[0]
+        if state == "half":
+            client.sendall(call(2)[:20])
+            await until(lambda: rig.front.begun, "half of it is read")
+        time.sleep(0.06)
+        rig.front.sweep()
+        assert await answers(client) == []
+
+    play(tmp_path, scene, client_idle=0.05, client_silent=0.05)
+
+
+def test_an_answer_just_written_outlives_the_fault_that_ends_its_connection(tmp_path: Path) -> None:
+    """The request before it was withdrawn and got nothing, and the close over what came behind reset all."""
+
+    async def scene(rig: Rig) -> None:
+        client, _ = await rig.client()
+        client.sendall(call(1))
+        await until(lambda: rig.side.started, "the request is sent on")
+        with contextlib.suppress(BlockingIOError):
+            client.setblocking(False)
+            client.sendall(call(2) + b"\xc1" * 200_000)  # more than is read before the fault is seen
+        found = await answers(client)
+        assert None not in found and sorted(answer[1] for answer in found) == [1, 2]
+        assert {answer[2][0] for answer in found} <= {"TryLater", "Aborted"} and len(rig.side.started) == 1
+        assert rig.counters.counts["bad_client_bytes"] == 1
+
+    play(tmp_path, scene)
+
+
+def test_a_faulty_client_that_does_not_close_is_closed_within_the_bound(tmp_path: Path) -> None:
+    async def scene(rig: Rig) -> None:
+        client, session = await rig.client()
+        began = time.monotonic()
+        client.sendall(b"\xc1")
+        assert await answers(client) == []
+        assert session in rig.front.parting
+        await until(lambda: not rig.front.sessions, "it is closed")
+        assert 0.25 < time.monotonic() - began < 2.0
+
+    play(tmp_path, scene)
+
+
+def test_what_is_at_its_end_makes_room_before_who_asks(tmp_path: Path) -> None:
+    async def scene(rig: Rig) -> None:
+        usual, _ = await idle(rig)
+        client, _ = await rig.client()
+        client.sendall(b"\xc1")
+        await until(lambda: rig.front.parting, "it is at its end")
+        rig.take(rig.connect()[1])
+        assert not rig.front.parting and rig.counters.counts["closed_silent_clients"] == 1
+        await turns()
+        usual.sendall(call(2))
+        await until(lambda: rig.side.started, "the request is sent on")
+
+    play(tmp_path, scene, client_connections=2)
+
+
+def test_the_end_of_a_drain_answers_what_is_open_and_resets_nobody(tmp_path: Path) -> None:
+    async def scene(rig: Rig) -> None:
+        client, session = await rig.client()
+        client.sendall(call(1))
+        await until(lambda: rig.side.started, "the request is sent on")
+        assert rig.exchange.order(rig.side.started[0]) is not None
+        rig.exchange.written(rig.side.started[0])
+        rig.front.operation.order(DRAIN, True)
+        client.sendall(call(2))
+        arrived(session.stream.socket)
+        rig.front.drained_at = rig.front.now() - rig.limits.drain_close
+        rig.front.empty()  # with the second one unread
+        found = await answers(client)
+        assert [answer[1] for answer in found] == [1] and found[0][2][0] in ("TryLater", "Aborted")
+        assert len(rig.side.started) == 1 and rig.counters.counts["closed_by_drain"] == 1
+
+    play(tmp_path, scene)
+
+
+@pytest.mark.parametrize("moment", ["unread", "read by the stream"])
+def test_a_quiet_connection_is_not_closed_in_the_moment_its_request_comes(
+    tmp_path: Path, moment: str
+) -> None:
+    async def scene(rig: Rig) -> None:
+        client, taken = await idle(rig)
+        rig.front.giving_way = True
+        client.sendall(call(2))
+        arrived(taken)
+        if moment == "unread":
+            rig.front.empty()
+        else:
+            # A callback that follows the read in the same turn: the stream has the bytes, its session not.
+            (session,) = rig.front.sessions
+            session.stream._handle_events(taken, session.stream.io_loop.READ)
+            assert not session.stream.reading()
+            rig.front.empty()
+        await until(lambda: rig.side.started, "the request is sent on")
+        rig.serve(rig.side.started[0])
+        assert (await answers(client))[0][3][0] == b"x"
+        assert rig.counters.counts["closed_quiet_clients"] == 1
+
+    play(tmp_path, scene)
+
+
+def test_what_comes_once_new_work_is_turned_away_is_refused_and_not_sent_on(tmp_path: Path) -> None:
+    async def scene(rig: Rig) -> None:
+        client, taken = await idle(rig)
+        client.sendall(call(2))
+        arrived(taken)
+        rig.front.giving_way = rig.front.hurrying = True
+        rig.front.empty()
+        assert (await answers(client, 1))[0][1:3] == [2, ["TryLater", {"pushback": "200"}]]
+        assert not rig.side.started
+
+    play(tmp_path, scene)
