--- a/paddlequay/net/twin.py
+++ b/paddlequay/net/twin.py
@@ -32,7 +32,7 @@
         self.twin, self.stream = twin, stream
         self.reader = wire.Reader(twin.limits.twin_line)
         self.known = asyncio.Event()  # the other's state has come, or the link has ended
-        self.ready = False
+        self.ready = self.told = False
         self.awaited: dict[int, asyncio.Future[bool]] = {}
 
     def send(self, message: wire.Message) -> None:
@@ -83,6 +83,7 @@
         operation = self.twin.operation
         match message:
             case wire.State():
+                self.told = True
                 operation.saw(message.listed)
                 operation.take_all(message.marks)
                 if self is self.twin.older:
@@ -138,23 +139,33 @@
 
     async def find(self) -> bool:
         """Look for an older process and learn what it knows; then be found in its place."""
-        stream = IOStream(socket.socket(socket.AF_UNIX, socket.SOCK_STREAM))
-        try:
-            await asyncio.wait_for(stream.connect(str(self.path)), self.limits.twin_connect)
-        except (TimeoutError, StreamClosedError, OSError):
-            stream.close()
-        else:
-            self.older = Link(self, stream)
-            self.background.spawn("twin", self.follow_older(self.older))
-        self.found.set()
-        if self.older is not None:
+        now = asyncio.get_running_loop().time
+        until = now() + self.limits.twin_connect
+        while (link := await self.reach()) is not None:
+            self.older = link
+            self.background.spawn("twin", self.follow_older(link))
             try:
-                await asyncio.wait_for(self.older.known.wait(), self.limits.twin_connect)
+                await asyncio.wait_for(link.known.wait(), self.limits.twin_connect)
             except TimeoutError:
                 log.event(LOGGER, logging.WARNING, "older_process_silent")
+            if link.told or not link.stream.closed() or now() >= until:
+                break
+            # Ended without a word: it is going, or has a newer one beside it, soon to be found in its place.
+            await asyncio.sleep(0.02)
+        self.found.set()
         self.listen()
         return self.older is not None
 
+    async def reach(self) -> Link | None:
+        """A link to whoever listens at the path."""
+        stream = IOStream(socket.socket(socket.AF_UNIX, socket.SOCK_STREAM))
+        try:
+            await asyncio.wait_for(stream.connect(str(self.path)), self.limits.twin_connect)
+        except (TimeoutError, StreamClosedError, OSError):
+            stream.close()
+            return None
+        return Link(self, stream)
+
     async def follow_older(self, link: Link) -> None:
         await link.run()
         self.older = None
--- a/tests/crossings/rig_end.py
+++ b/tests/crossings/rig_end.py
@@ -2,12 +2,14 @@
 
 import contextlib
 import copy
+import itertools
 import select
+import socket
 import threading
 import time
 from typing import Any
 
-from harness import SETTINGS, Client, Platform, told
+from harness import SETTINGS, Client, Platform, told, until
 
 from paddlequay.protocol import msgpack
 
@@ -32,6 +34,36 @@
     return {int(told(words)["path"], 16) for words in asked}
 
 
+NUMBERS = itertools.count(1 << 40)
+
+
+def asked(p: Platform, client: Client, **fields: str) -> tuple[socket.socket, list[str]]:
+    """Have the box asked for this client. On a slow machine the router takes its late beats for a full core,
+    and asks to come back."""
+    for _ in range(50):
+        name = f"{next(NUMBERS):016x}"
+        client.ask("video", b"", call=name, row=name, **fields)
+        until(lambda: client.answered() or not p.box.lines.empty(), "an answer, or a cache is asked")
+        if not p.box.lines.empty():
+            connection, words = p.box.line()
+            assert words[0] == "ASK" and words[1] == name
+            return connection, words
+        assert client.answer()[2][0] == "TryLater"
+        time.sleep(0.05)
+    raise AssertionError("always too busy")
+
+
+def reply(connection: socket.socket, words: list[str], body: bytes) -> None:
+    """What the box says to what it was asked."""
+    connection.sendall(f"{words[1]} HIT - {len(body)}\r\n".encode() + body + b"\r\n")
+
+
+def served(p: Platform, client: Client) -> None:
+    """A request of this client is served."""
+    reply(*asked(p, client), b"served")
+    assert client.answer()[3][0] == b"served"
+
+
 class Restless:
     """A connection with half a message at all times, that sends whole ones until the router ends it.
 
--- a/tests/crossings/test_background.py
+++ b/tests/crossings/test_background.py
@@ -9,6 +9,7 @@
 
 import pytest
 from harness import Client, platform, until
+from rig_end import asked, reply, served
 from test_descriptors import full, lower
 
 from paddlequay.background import PAUSE_LEAST, Background
@@ -82,27 +83,36 @@
         client = p.client()
         until(lambda: p.counted("background_errors.beating") == 3, "it has failed, and gone on")
         assert sum("background_failed" in line for line in p.log) == 1
-        client.ask()
-        p.box.answer("HIT", "-", b"x")
-        assert client.answer()[3][0] == b"x"
+        served(p, client)
         assert p.end() == 0
 
 
+<<<<<<< HEAD
 def test_the_list_is_followed_again_while_clients_hold_all_descriptors() -> None:
     """Discovery goes while clients fill them; one refused socket ended the following for good."""
+=======
+def test_the_list_is_followed_again_where_clients_fill_the_descriptors() -> None:
+    """One refused socket while discovery was away ended the following for good."""
+>>>>>>> 19b002c (Have a process that is turned away by a busy older one look again)
     with platform(limits={"sockets": 300, "memory_mb": 192}) as p:
         early = p.client()
-        early.ask()
-        box, words = p.box.line()
+        box, words = asked(p, early)
         bulletin = p.publish()
         lower(p, free=3)
         crowd = [Client(p.address) for _ in range(20)]
         full(p)
-        box.sendall(f"{words[1]} HIT - 1\r\nx\r\n".encode())
+        reply(box, words, b"x")
         assert early.answer()[3][0] == b"x"
         bulletin.shutdown(socket.SHUT_RDWR)
         p.logged("event=bulletin_lost")
+<<<<<<< HEAD
         until(lambda: not p.bulletin.accepted.empty(), "followed again on the descriptor kept for it")
         for each in crowd:
             each.socket.close()
+=======
+        until(lambda: not p.bulletin.accepted.empty(), "followed again, while the crowd stays")
+        for each in crowd:
+            each.socket.close()
+        served(p, early)
+>>>>>>> 19b002c (Have a process that is turned away by a busy older one look again)
         assert p.end() == 0
--- a/tests/crossings/test_descriptors.py
+++ b/tests/crossings/test_descriptors.py
@@ -7,6 +7,9 @@
 
 import pytest
 from harness import Client, Platform, platform, until
+from rig_end import asked, reply, served
+
+from paddlequay.protocol import msgpack
 
 
 @pytest.fixture
@@ -37,23 +40,22 @@
 def test_a_door_with_no_descriptor_left_waits_and_nobody_else_notices(p: Platform) -> None:
     """Each turn of the loop tried again and logged its trace, at a full core."""
     early = p.client()
-    early.ask()
-    connection, words = p.box.line()
+    connection, words = asked(p, early)
     lower(p, free=4)
     crowd = [Client(p.address) for _ in range(20)]
     full(p)
     before, used, began = len(p.log), cpu(p), time.monotonic()
     time.sleep(0.5)  # measured over this time
     assert cpu(p) - used < 0.3 * (time.monotonic() - began) and len(p.log) - before < 10
-    connection.sendall(f"{words[1]} HIT - 1\r\nx\r\n".encode())
+    reply(connection, words, b"x")
     assert early.answer()[3][0] == b"x"
-    late = crowd.pop()  # it waits in the queue, and has asked there
-    late.ask(call="00000000000000aa", row="00000000000000aa")
-    assert p.box.lines.empty()
+    late = crowd.pop()  # it waits in the queue, and asks there whether the router takes clients
+    late.socket.sendall(msgpack.pack([0, 1, "alive", [{}]]))
+    assert not late.answered()
     for each in crowd:
         each.socket.close()
-    p.box.answer("HIT", "-", b"y")
-    assert late.answer()[3][0] == b"y"
+    assert late.answer()[3][0] is True
+    served(p, late)
     assert p.end() == 0
     assert early.answer() is None  # one answer, and the end
     assert not any("Traceback" in line for line in p.log)
--- a/tests/crossings/test_ending.py
+++ b/tests/crossings/test_ending.py
@@ -5,15 +5,17 @@
 import threading
 import time
 
+import pytest
 from harness import WAIT, Client, Party, Platform, platform, until
-from rig_end import Restless, call, rows, short
+from rig_end import Restless, asked, call, rows, served, short
 
 
-def serve(box: Party) -> None:
+def serve(box: Party, sent_on: set[int]) -> None:
     """Answer all that comes, until nothing comes any more."""
     with contextlib.suppress(queue.Empty, OSError):
         while True:
-            box.answer("HIT", "-", b"x")
+            words = box.answer("HIT", "-", b"x")
+            sent_on.add(int(words[1], 16))
 
 
 def test_requests_sent_up_to_the_last_moment_are_answered_and_the_connection_is_not_reset() -> None:
@@ -21,9 +23,9 @@
     bytes reset the connections."""
     with platform(settings=short(0.6)) as p:
         waits = p.client()
-        waits.ask(ttl="800")
-        p.box.line()  # and never answers this one
-        threading.Thread(target=serve, args=(p.box,), daemon=True).start()
+        asked(p, waits, ttl="800")  # and never answered
+        sent_on: set[int] = set()
+        threading.Thread(target=serve, args=(p.box, sent_on), daemon=True).start()
         clients = [Restless(p.client(), 10_000 * place) for place in (1, 2, 3)]
         until(lambda: all(each.sent for each in clients), "they send")
         p.process.terminate()
@@ -34,6 +36,7 @@
         for each in clients:
             assert not each.reset and len(each.answers) == len(set(each.answers))
             assert set(each.sent[:-1]) <= set(each.answers) and len(each.sent) > 20
+            assert each.sent[-1] in each.answers or each.sent[-1] not in sent_on
 
 
 def fill(p: Platform) -> Client:
@@ -68,3 +71,40 @@
         assert refused is None or (refused[2][0] == "TryLater" and half.answer() is None)
         assert p.process.wait(WAIT) == 0
         assert 900 not in rows(p) and slow.answered()
+
+
+@pytest.mark.parametrize("deadline", [0.4, 1.0])
+def test_all_that_is_open_at_members_that_hang_is_answered_before_the_kill(deadline: float) -> None:
+    """SIGKILL comes 0.7 s after the longest deadline; requests come for up to 0.6 s of that."""
+    with platform(settings=short(deadline)) as p:
+        clients = [p.client() for _ in range(6)]
+        kinds = ["video", "charge"] * 3
+        for client, kind in zip(clients[:2], kinds, strict=False):
+            client.ask(kind, ttl=str(int(1500 * deadline)))
+        until(lambda: p.counted("requests") == 2, "they are open")
+        began = time.monotonic()
+        p.process.terminate()
+        for place, after in ((2, 0.2), (4, 0.55)):  # the platform's times
+            time.sleep(max(0.0, began + after - time.monotonic()))
+            for client, kind in zip(clients[place : place + 2], kinds, strict=False):
+                name = f"{place:016x}" if kind == "video" else f"{place:08x}{place:08x}"
+                client.ask(kind, call=name, row=name, ttl=str(int(1500 * deadline)))
+        answers = [client.answer() for client in clients]
+        assert time.monotonic() - began < deadline + 0.7
+        assert all(answer is not None and answer[2] is not None for answer in answers)
+        assert all(client.answer() is None for client in clients) and p.process.wait(WAIT) == 0
+        after = float(p.logged("event=ended").partition("after=")[2].split()[0])
+        assert after < deadline + 0.7
+
+
+def test_clients_that_rest_until_they_are_closed_have_an_end_and_nothing_they_send_then_is_sent_on() -> None:
+    with platform() as p:
+        clients = [p.client() for _ in range(10)]
+        for client in clients[:5]:  # the others have said nothing yet
+            served(p, client)
+        p.process.terminate()
+        for number, client in enumerate(clients, 1):
+            assert client.answer() is None
+            with contextlib.suppress(OSError):
+                client.socket.sendall(call(number))
+        assert p.process.wait(WAIT) == 0 and not rows(p)
--- a/tests/crossings/test_signals.py
+++ b/tests/crossings/test_signals.py
@@ -13,6 +13,7 @@
 
 import pytest
 from harness import ROOT, WAIT, Party, Platform, platform
+from rig_end import asked, reply, served
 
 from paddlequay.lab.plaza import free_port
 
@@ -86,8 +87,7 @@
     """Once the event loop is closed their default actions came back: a second SIGTERM or a SIGHUP there was
     an exit by a signal."""
     client = p.client()
-    client.ask()
-    connection, words = p.box.line()
+    connection, words = asked(p, client)
     stop = threading.Event()
 
     def send() -> None:
@@ -99,7 +99,7 @@
     thread = threading.Thread(target=send, daemon=True)
     thread.start()
     p.logged("event=ending")
-    connection.sendall(f"{words[1]} HIT - 4\r\nlast\r\n".encode())
+    reply(connection, words, b"last")
     assert client.answer()[3][0] == b"last"
     code = p.process.wait(timeout=2 * WAIT)
     stop.set()
@@ -117,9 +117,8 @@
     p.logged("event=newer_process_ended")
     assert newer.wait(WAIT) == 0
     assert not any("event=newer_process_ready" in line or "Traceback" in line for line in p.log)
-    client.ask()
-    p.box.answer("HIT", "-", b"x")
-    assert client.answer()[3][0] == b"x" and older.poll() is None
+    served(p, client)
+    assert older.poll() is None
 
 
 def test_sigterm_while_looking_for_an_older_process_ends_at_once(p: Platform, tmp_path: Path) -> None:
@@ -137,12 +136,11 @@
 
 def test_sigterm_in_a_drain_answers_what_is_open(p: Platform) -> None:
     client = p.client()
-    client.ask()
-    connection, words = p.box.line()
+    connection, words = asked(p, client)
     assert p.call("/-/drain")[0] == 200
     p.process.terminate()
     p.logged("event=ending")
-    connection.sendall(f"{words[1]} HIT - 4\r\nlast\r\n".encode())
+    reply(connection, words, b"last")
     assert client.answer()[3][0] == b"last"
     assert client.answer() is None and p.process.wait(WAIT) == 0
     assert not any("Traceback" in line for line in p.log)
--- /dev/null
+++ b/tests/crossings/test_twin_crossing.py
@@ -0,0 +1,105 @@
+"""One process replaces another, and one of them goes, or a third comes, in the middle."""
+
+import asyncio
+import socket
+import time
+from pathlib import Path
+
+from harness import WAIT, platform
+from rig_end import asked, reply, served
+
+from paddlequay.config import Limits
+from paddlequay.counters import Counters
+from paddlequay.net.twin import Twin
+from paddlequay.operation import Operation
+from paddlequay.shares import Shares
+
+
+def made(folder: Path) -> Twin:
+    limits = Limits()
+    return Twin(folder / "a.sock", Operation(folder / "a.json"), Shares(limits), limits, Counters())
+
+
+def test_who_comes_while_another_takes_over_waits_for_that_one(tmp_path: Path) -> None:
+    """Turned away by the older process, it took itself for the only one, and served beside two others."""
+
+    async def play() -> None:
+        older, second, third = (made(tmp_path) for _ in range(3))
+        assert not await older.find()
+        first = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+        first.connect(str(older.path))  # the second one, on its way: not to be found itself yet
+        while older.newer is None:
+            await asyncio.sleep(0.001)
+        asked = asyncio.ensure_future(third.find())
+        await asyncio.sleep(0.1)  # it has been turned away by now, and asks again
+        assert not asked.done()
+        second.listen()
+        assert await asked and second.newer is not None and third.older is not None
+        first.close()
+        for each in (older, second, third):
+            each.close()
+
+    asyncio.run(asyncio.wait_for(play(), WAIT))
+
+
+def test_where_the_older_process_goes_before_its_first_word_the_newer_one_is_alone_at_once(
+    tmp_path: Path,
+) -> None:
+    async def play() -> None:
+        newer = made(tmp_path)
+        older = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+        older.bind(str(newer.path))
+        older.listen()
+        older.setblocking(False)
+        asked = asyncio.ensure_future(newer.find())
+        link = (await asyncio.get_running_loop().sock_accept(older))[0]
+        older.close()
+        link.close()
+        began = time.monotonic()
+        assert not await asked and newer.older is None
+        assert time.monotonic() - began < 0.5 * newer.limits.twin_connect
+        newer.close()
+
+    asyncio.run(asyncio.wait_for(play(), WAIT))
+
+
+def test_a_message_that_cannot_be_acted_on_ends_the_link_in_order(tmp_path: Path) -> None:
+    """The link counted as open for good, and with it a newer process that takes clients."""
+
+    async def play() -> None:
+        older, newer = made(tmp_path), made(tmp_path)
+        assert not await older.find() and await newer.find()
+        newer.tell_ready()
+        while not older.replaced:
+            await asyncio.sleep(0.001)
+
+        def fail() -> None:
+            raise ValueError("cannot be acted on")
+
+        older.on_replaced = fail
+        newer.tell_ready()
+        while older.newer is not None or newer.older is not None:
+            await asyncio.sleep(0.001)
+        assert not older.replaced and older.counters.counts["twin_errors"] == 1
+        older.close()
+        newer.close()
+
+    asyncio.run(asyncio.wait_for(play(), WAIT))
+
+
+def test_sigterm_to_the_older_process_before_the_newer_one_is_ready_loses_nothing() -> None:
+    """What the older one holds is answered; the newer one waits no longer than the older one lives."""
+    with platform() as p:
+        p.ready()
+        older, client = p.process, p.client()
+        connection, words = asked(p, client)
+        p.start()  # waits for the bulletin's word, which does not come
+        p.logged("event=newer_process")
+        older.terminate()
+        p.logged("event=ending")
+        reply(connection, words, b"x")
+        assert client.answer()[3][0] == b"x" and client.answer() is None
+        assert older.wait(WAIT) == 0
+        p.ready()
+        served(p, p.client())
+        assert not any("Traceback" in line for line in p.log)
