Draw the classes' order, the windows of repeats and the effect of kept classes in the test of rules

Now windows go down to none and 0.2 s, each class may be kept, as settings may give any class another effect, and the order is drawn. No fault was found in the decisions.

--- a/tests/test_settings_drawn.py
+++ b/tests/test_settings_drawn.py
@@ -9,11 +9,10 @@
 from paddlequay.interface import Effect, Fetch, Member, Note, Outcome, Ramp, Refuse, State
 from paddlequay.policy import Router
 
-WINDOW = 1.5
 LEFT = 2.0
 PAGES = say.RequestClass("pages", 0.3, 2.5, Effect.SAFE, worth=1.0)
-PAYS = say.RequestClass("pays", 0.6, 3.0, Effect.UNSAFE, uncacheable=True)
-ORDERS = say.RequestClass("orders", 0.6, 3.0, Effect.KEYED, repeat_window=WINDOW, uncacheable=True)
+PAYS = say.RequestClass("pays", 0.6, 3.0, Effect.UNSAFE)
+ORDERS = say.RequestClass("orders", 0.6, 3.0, Effect.KEYED)
 EDGES = [Member(f"edge-{n}", "here", "box", n % 2, State.READY, 3.0) for n in range(3)]
 AWAY = [Member(f"away-{n}", "there", "box", n, State.READY, 3.0) for n in range(2)]
 BEHIND = [Member(f"parent-{n}", "hub", "parent", 0, State.READY, 9.0) for n in range(2)]
@@ -28,10 +27,20 @@
     say.Settings,
     zone=st.just("here"),
     classes=st.builds(
-        lambda new, old, by: (PAYS, replace(PAGES, fresh=new, grace=old), replace(ORDERS, repeat_group=by)),
+        lambda new, old, by, within, kept, order: tuple(
+            (
+                replace(PAYS, uncacheable=not kept),
+                replace(PAGES, fresh=new, grace=old),
+                replace(ORDERS, repeat_group=by, repeat_window=within, uncacheable=not kept),
+            )[place]
+            for place in order
+        ),
         st.sampled_from([None, 0.0, 8.0]),
         st.sampled_from([None, 30.0]),
         st.sampled_from([None, "all", "zone", "cell"]),
+        st.sampled_from([None, 0.0, 0.2, 0.4, 1.5, 1.5, 1.5]),
+        st.booleans(),  # settings may give a class that is kept any effect
+        st.permutations(range(3)),
     ),
     routers=st.sampled_from([None, 1, 4, 40]),
     routers_here=st.sampled_from([None, 1, 3]),
@@ -62,7 +71,7 @@
     st.tuples(st.just("detour"), st.sampled_from([edge.name for edge in EDGES]), st.integers(0, 2)),
     st.tuples(st.just("leave"), st.integers(0, 60)),
     st.tuples(st.just("purge"), st.integers(0, 2)),
-    st.tuples(st.just("wait"), st.sampled_from([0.01, 0.3, 1.6, 6.0])),
+    st.tuples(st.just("wait"), st.sampled_from([0.01, 0.15, 0.3, 1.6, 6.0])),
 )
 STEPS = st.lists(st.one_of(ASK, END, END, OTHERS), min_size=20, max_size=60)
 
@@ -119,7 +128,7 @@
             assert fetch.only_held or fetch.join
         assert told.joins or not fetch.join
         if ran and kind.effect is Effect.KEYED:
-            assert self.now < ran[0][1] + WINDOW
+            assert self.now < ran[0][1] + (kind.repeat_window or 0.0)
             before = MEMBERS[ran[0][0].target]
             same = {"zone": before.zone == target.zone, "cell": before.cell == target.cell, "all": True}
             assert same.get(kind.repeat_group or "cell")
