Tell a cache what is given up, also where the settings let nothing be cancelled

At fault: Connection.abandon. The settings' word on cancelling binds the decisions (no Cancel while an attempt may go on); QUIT is also how an attempt whose time is over is given up, and until then it is out.

--- a/paddlequay/net/connection.py
+++ b/paddlequay/net/connection.py
@@ -222,7 +222,9 @@
             elif in_vain and attempt.written is not None:
                 # At least so long: leaving out what was given up would make all waits look short in a jam.
                 self.pool.waits.took(attempt.owner.ask.class_name, now - attempt.written)
-            if self.pool.exchange.router.settings.can_cancel and not self.stream.closed():
+            # Whether or not the settings let the decisions cancel: until it is told, what is over here is out
+            # there, and the next attempt would be a second copy beside it.
+            if not self.stream.closed():
                 self.send(wire.quit_(attempt.id))
         elif attempt in self.waiting:
             self.waiting.remove(attempt)
