End connections by their session's own rule, and be over before the kill for any deadlines

Requests on open connections are served no longer than open ones are kept, as with deadlines under 0.25 s the last words came after the kill.

--- a/paddlequay/ending.py
+++ b/paddlequay/ending.py
@@ -6,7 +6,6 @@
 from paddlequay import log
 from paddlequay.config import Limits
 from paddlequay.net.clients import Front
-from paddlequay.net.closing import Closing, quiet
 from paddlequay.net.twin import Twin
 
 LOGGER = logging.getLogger(__name__)
@@ -25,8 +24,8 @@
     Beside a newer process, which takes what is new, connections close at their next quiet moment. Alone,
     connections keep coming for a while after SIGTERM, and requests on open ones a little longer. What is read
     near the end gets a refusal at once, as sent on it would be lost with the process. At last each connection
-    closes in the turn in which all that came is answered, and those that never have one just before the
-    process may be killed.
+    ends in the turn in which all that came is answered, and those that never have one just before the process
+    may be killed.
     """
     now = asyncio.get_running_loop().time
     began = now()
@@ -37,7 +36,7 @@
         await asyncio.sleep(0.01)
     front.replaced = twin.replaced
     front.close_door()
-    while not twin.replaced and now() - began < limits.serve_after_term:
+    while not twin.replaced and now() - began < min(limits.serve_after_term, limits.drain_longest):
         await asyncio.sleep(0.01)
     front.closing = front.giving_way = True
     while now() - began < limits.drain_longest:
@@ -50,13 +49,12 @@
     front.hurrying = True
     front.empty()
     exchange.surrender()
-    over_by = began + max(limits.drain_longest, limits.serve_after_term) + LAST_WORDS
-    closing, left = Closing(), len(front.sessions)
-    while sessions := [each for each in front.sessions if not each.stream.closed()]:
+    over_by = began + limits.drain_longest + LAST_WORDS
+    left = len(front.sessions)
+    while front.sessions and now() < over_by:
         last = now() >= over_by - LINGERS
-        for session in sessions:
-            if last or (not session.open and not session.unsent and quiet(session.stream)):
-                closing.close(session.stream)
-        await asyncio.sleep(0 if last else 0.005)
-    await closing.finished(over_by)
+        for session in list(front.sessions):
+            if last or session.at_rest():
+                session.end()
+        await asyncio.sleep(0.005)
     log.event(LOGGER, logging.INFO, "ended", after=now() - began, connections=left)
