--- a/paddlequay/__main__.py
+++ b/paddlequay/__main__.py
@@ -1,5 +1,6 @@
 """Start of the program: the router, or with words on the command line one of its commands."""
 
+import os
 import sys
 
 from paddlequay import signals
@@ -19,6 +20,9 @@
             print(f"paddlequay: {why}", file=sys.stderr)
             return 2
     signals.hold()
+    # Tornado reads all of the system's certificates as it loads, a quarter of a start; there is no TLS here.
+    os.environ.setdefault("SSL_CERT_FILE", os.devnull)
+    os.environ.setdefault("SSL_CERT_DIR", os.devnull)
     from paddlequay.program import route  # only now: loading takes time, in which signals come as well
 
     return route()
