--- a/tests/crossings/test_clients_closing.py
+++ b/tests/crossings/test_clients_closing.py
@@ -185,12 +185,17 @@
     play(tmp_path, scene)
 
 
+@pytest.mark.parametrize("first", [False, True])  # what it sends, or of who has connected and asked nothing
 @pytest.mark.parametrize("moment", ["unread", "read by the stream"])
 def test_a_quiet_connection_is_not_closed_in_the_moment_its_request_comes(
-    tmp_path: Path, moment: str
+    tmp_path: Path, moment: str, first: bool
 ) -> None:
     async def scene(rig: Rig) -> None:
-        client, taken = await idle(rig)
+        if first:
+            client, session = await rig.client()
+            taken, session.began = session.stream.socket, session.began - rig.limits.late_comer
+        else:
+            client, taken = await idle(rig)
         rig.front.giving_way = True
         client.sendall(call(2))
         arrived(taken)
