Follow the list again where it stopped, and keep the membership's tasks as all others

A follower that was begun again kept its reserved socket, closed by then, and failed with the first watch. The membership's and the resolver's tasks were their own: one that ended with an error ended unseen. They are kept by `Background` now, begun again and counted.

`test_a_follower_that_was_ended_follows_again_where_it_stopped` fails without the mend.

--- a/paddlequay/net/dns.py
+++ b/paddlequay/net/dns.py
@@ -11,6 +11,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from paddlequay import log
+from paddlequay.background import Background
 from paddlequay.counters import Counters
 from paddlequay.discovery.answers import ANSWER_MOST
 from paddlequay.discovery.resolver import Action, Known, Resolver, Send
@@ -65,7 +66,7 @@
     ) -> None:
         self.resolver, self.counters, self.now, self.on_known = resolver, counters, now, on_known
         self.sockets: dict[int, Datagrams] = {}
-        self.tasks: set[asyncio.Task[None]] = set()
+        self.background = Background(counters)
         self.woken = asyncio.Event()
 
     def carry(self, actions: list[Action]) -> None:
@@ -73,9 +74,7 @@
         for action in list(actions):
             if isinstance(action, Send):
                 work = self.by_tcp(action) if action.tcp else self.by_udp(action)
-                task = asyncio.ensure_future(work)
-                self.tasks.add(task)
-                task.add_done_callback(self.tasks.discard)
+                self.background.spawn("resolver_question", work)
             else:
                 self.on_known(action)
         self.woken.set()
@@ -144,5 +143,5 @@
     def close(self) -> None:
         for each in list(self.sockets.values()):
             each.close()
-        for task in self.tasks:
+        for task in self.background.tasks:
             task.cancel()
--- a/paddlequay/net/lines.py
+++ b/paddlequay/net/lines.py
@@ -130,6 +130,7 @@
                 self.drop(watch)
             if self.spare is not None:
                 self.spare.close()
+                self.spare = None  # it may be followed again
 
     def hold(self) -> None:
         """Have a descriptor for the next watch, if there is one."""
--- a/paddlequay/net/members.py
+++ b/paddlequay/net/members.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 
 from paddlequay import log
+from paddlequay.background import Background
 from paddlequay.counters import Counters
 from paddlequay.discovery.answers import Name
 from paddlequay.discovery.membership import Box, Change, Membership, TooManyError
@@ -56,7 +57,7 @@
         self.dirty = False
         self.unsaved = False
         self.saved_at = self.reported = 0.0
-        self.tasks: list[asyncio.Task[None]] = []
+        self.background = Background(counters)
         self.set_up()
         follower.on_roster = self.roster
         follower.on_alive = self.alive
@@ -82,13 +83,13 @@
 
     def start(self) -> None:
         """Begin to ask and to keep time."""
-        self.tasks = [asyncio.ensure_future(self.beating())]
+        self.background.keep("members", self.beating)
         if self.driver is not None:
-            self.tasks.append(asyncio.ensure_future(self.driver.run()))
+            self.background.keep("resolver", self.driver.run)
             self.follow()
 
     def stop(self) -> None:
-        for task in self.tasks:
+        for task in self.background.tasks:
             task.cancel()
         if self.driver is not None:
             self.driver.close()
@@ -172,8 +173,7 @@
         self.apply(self.membership.tick(now))
         if self.unsaved and now - self.saved_at > SAVE_PAUSE and self.settings.folder is not None:
             self.unsaved, self.saved_at = False, now
-            self.tasks.append(asyncio.ensure_future(self.save()))
-            self.tasks = [task for task in self.tasks if not task.done()]
+            self.background.spawn("members_save", self.save())
 
     def apply(self, changes: list[Change]) -> None:
         """Changes to pool and exchange, the pool first: a decision may send to whom it names.
