Keep every log record one line of bounded length, whatever strangers send

A purge with a text of a million letters for its time left a log line as long, as the error quotes it whole; the trace of an error did the same. Of a value over 4000 characters the two ends are kept now, and what is not printable is escaped: a line separator or a vertical tab ended the line for readers that split by more than line feeds, and an escape sequence moved the terminal's cursor. Nine of the tests in test_log_lines.py fail without it.

--- a/paddlequay/log.py
+++ b/paddlequay/log.py
@@ -4,6 +4,8 @@
 import sys
 import time
 
+VALUE_MOST = 4000  # characters of one value; a trace stands at its end
+
 
 class KeyValueFormatter(logging.Formatter):
     """`ts=... level=... part=... event=...` and then the record's own fields."""
@@ -23,12 +25,17 @@
 
 
 def quoted(value: object) -> str:
-    """A value as one word, in quotes where it would not be one."""
+    """A value as one word, in quotes where it would not be one; of a long one, its two ends.
+
+    What strangers send may stand in it: no line ends early by it, and none is longer than that.
+    """
     text = f"{value:.6g}" if isinstance(value, float) else str(value)
-    if text and not any(c in text for c in ' "=\n\r\t\\'):
+    if len(text) > VALUE_MOST:
+        text = f"{text[: VALUE_MOST // 2]} ... {text[-VALUE_MOST // 2 :]}"
+    if text and text.isprintable() and not any(c in text for c in ' "=\\'):
         return text
     escaped = text.replace("\\", "\\\\").replace('"', '\\"')
-    return '"' + escaped.replace("\n", "\\n").replace("\r", "\\r").replace("\t", "\\t") + '"'
+    return '"' + "".join(c if c.isprintable() else ascii(c)[1:-1] for c in escaped) + '"'
 
 
 def set_up(level: int = logging.INFO) -> None:
--- /dev/null
+++ b/tests/crossings/test_log_lines.py
@@ -0,0 +1,59 @@
+"""What strangers send may stand in the log: each record stays one line, of a bounded length."""
+
+import json
+import logging
+
+import pytest
+from harness import platform
+
+from paddlequay.log import VALUE_MOST, KeyValueFormatter, quoted
+
+
+@pytest.mark.parametrize(
+    "text", ["a\nb", "a\rb", "a\x0bb", "a\x85b", "a\u2028b", "\x00", "\ud800", "\x1b[2J"]
+)
+def test_nothing_ends_a_line_early_or_moves_the_readers_cursor(text: str) -> None:
+    word = quoted(text)
+    assert word.isprintable() and len(word.splitlines()) == 1 and word.encode()
+
+
+@pytest.mark.parametrize(
+    ("value", "word"),
+    [
+        ("a", "a"),
+        ("", '""'),
+        ("a b", '"a b"'),
+        ('a"\\\n\t', '"a\\"\\\\\\n\\t"'),
+        (0.123456789, "0.123457"),
+        ("ü", "ü"),
+    ],
+)
+def test_a_value_is_one_word_or_stands_in_quotes(value: object, word: str) -> None:
+    assert quoted(value) == word
+
+
+def test_of_a_long_value_the_two_ends_are_kept() -> None:
+    word = quoted("first" + "x" * 10**6 + "last")
+    assert len(word) < VALUE_MOST + 20 and word.startswith('"first') and word.endswith('last"')
+
+
+def test_a_trace_is_one_line_and_its_end_is_kept() -> None:
+    record = logging.LogRecord("paddlequay.x", logging.ERROR, "x.py", 1, "failed", (), None)
+    try:
+        raise ValueError("x" * 10**6 + "\nthe cause")
+    except ValueError as error:
+        record.exc_info = (type(error), error, error.__traceback__)
+    line = KeyValueFormatter().format(record)
+    assert len(line) < VALUE_MOST + 200 and len(line.splitlines()) == 1 and "the cause" in line
+
+
+def test_a_long_event_that_cannot_be_read_leaves_a_short_line() -> None:
+    with platform() as p:
+        event = {"no": 2, "recall": {"item": "00", "issued": "x" * 10**6}}
+        p.publish(event).sendall(json.dumps(event).encode())
+        line = p.logged("could not convert")
+        assert len(line) < VALUE_MOST + 500
+        client = p.client()
+        number = client.ask()
+        p.box.answer("HIT", "tag=0,minted=1764576000000", b"bytes")
+        assert client.answer()[:3] == [1, number, None]
