Keep of the times of an end those that it goes by

ending.py now counts refusals, half messages and last words back from the moment at which all is given up, so that moment alone follows from the deadlines; half_longest is gone, drain_refuse is the operators' drain's again and flush_longest a tier's.

--- a/paddlequay/config.py
+++ b/paddlequay/config.py
@@ -101,11 +101,10 @@
     accept_after_term: float = 0.5  # connections keep coming for 0.4 s after SIGTERM,
     serve_after_term: float = 0.75  # and requests on open ones 0.2 s longer
     drain_longest: float = 3.5  # then all that is open is given up
-    half_longest: float = 2.5  # a message that is not whole is waited for
-    flush_longest: float = 0.5  # what is answered and not sent yet, after `drain_longest`
-    drain_refuse: float = 2.6  # connections that are never quiet get nothing new done; drains too
+    flush_longest: float = 0.5  # what a tier has answered and not sent yet, after `drain_longest`
     # A drain by operators, who look at 4 s after it whether any connection is left, whatever the deadlines.
     drain_accept: float = 0.45  # new connections still come, and are served, for this long
+    drain_refuse: float = 2.6  # connections that are never quiet get nothing new done,
     drain_surrender: float = 3.0  # what is open then is given up,
     drain_close: float = 3.3  # and what is not closed by then is closed
     late_comer: float = 0.5  # who has connected this lately and asked nothing yet is about to
@@ -225,30 +224,18 @@
 
     accept_after_term: float
     serve_after_term: float
-    drain_refuse: float
-    half_longest: float
     drain_longest: float
-    flush_longest: float
 
 
 def end_times(longest: float) -> EndTimes:
     """The times of an end after SIGTERM, in seconds, for the longest deadline of all classes.
 
-    All is answered, given up or flushed before SIGKILL comes. With deadlines under 0.3 s it comes while
-    requests still do, and less is waited for.
+    All is answered or given up so early that `ending.py` has 0.15 s for the last words before SIGKILL comes.
+    With deadlines under 0.3 s it comes while requests still do, and less is waited for.
     """
-    killed = min(KILL_DEADLINE_MOST, longest) + KILL_AFTER
-    given_up = killed - 0.2
+    given_up = min(KILL_DEADLINE_MOST, longest) + KILL_AFTER - 0.2
     served = min(0.75, given_up - 0.05)
-    refused = max(served, min(2.6, given_up - 0.3))
-    return {
-        "accept_after_term": min(0.5, served),
-        "serve_after_term": served,
-        "drain_refuse": refused,
-        "half_longest": min(2.5, refused),
-        "drain_longest": given_up,
-        "flush_longest": 0.15,
-    }
+    return {"accept_after_term": min(0.5, served), "serve_after_term": served, "drain_longest": given_up}
 
 
 def limits_from(data: Mapping[str, Any], settings: Settings) -> Limits:
