Take no more connections in one turn than have room, where descriptors are few

With 36 descriptors 11 are for clients, and 16 connections were taken in one turn: who comes in makes room for others only from the next turn on, so five of them were closed unasked. The test fills a router of 36, 60 and 100 descriptors under a real RLIMIT_NOFILE: all are taken in, a request is answered, and so is a call to the console. With 36 it fails without this.

--- a/paddlequay/config.py
+++ b/paddlequay/config.py
@@ -255,6 +255,8 @@
         # The rest is for what the program needs by itself, and for sockets about to be closed.
         all_cache_connections=sockets - clients - own,
         own_descriptors=own,
+        # Who is taken in makes room for others from the next turn on: more at once would be turned away.
+        accepts=max(1, min(own_most.accepts, clients // 4)),
         console_connections=min(own_most.console_connections, own - BESIDE_CONSOLE),
         cores=positive(data, "limits.cores", 1.0),
         all_unsent=int(memory / 4),
--- a/tests/crossings/test_limits_told.py
+++ b/tests/crossings/test_limits_told.py
@@ -1,6 +1,7 @@
 """Limits that stand in for what settings and deployment tell follow from it, and add up."""
 
 import re
+import resource
 from pathlib import Path
 from typing import Any
 
@@ -97,3 +98,20 @@
         found = re.search(r" after=([0-9.]+)", p.logged("event=ended"))
     # Half of what is left until SIGKILL, and half beyond it, are the machine's that runs this test.
     assert found is not None and longest + 0.6 < float(found[1]) < longest + 0.7 + 0.2
+
+
+@pytest.mark.parametrize("sockets", [36, 60, 100])
+def test_with_few_descriptors_clients_that_fill_their_part_leave_room_for_the_rest(sockets: int) -> None:
+    with platform(limits={"sockets": sockets, "memory_mb": 192}) as p:
+        p.ready()
+        resource.prlimit(p.process.pid, resource.RLIMIT_NOFILE, (sockets, sockets))
+        crowd = [p.client() for _ in range(sockets)]
+        until(lambda: p.counted("client_connections") >= sockets, "all were taken in")
+        first = crowd[-1]
+        number = first.ask()
+        p.box.answer("HIT", "tag=0,minted=1764576000000", b"bytes")
+        assert first.answer()[:3] == [1, number, None]
+        assert p.call("/-/ready", "GET")[0] == 200
+        assert len(list(Path(f"/proc/{p.process.pid}/fd").iterdir())) <= sockets
+        assert p.counted("closed_silent_clients") >= sockets - sockets // 3
+        assert not any("Traceback" in line or "Too many open files" in line for line in p.log)
