Note signals that a library's thread is given while the program cannot act on them

Blocked in the main thread alone, a signal goes to any other thread that lets it through, such as one that a preloaded library begins, and its default action ends the program. The test with such a thread fails without the handlers that note it; so the end leaves no moment either between the loop's handlers and none.

--- a/paddlequay/program.py
+++ b/paddlequay/program.py
@@ -259,7 +259,7 @@
             self.sharing.stop()
         self.twin.close()
         self.counters.print("exit")
-        signals.hold()  # with the loop their default actions come back, and would end what ends in order
+        signals.end(asyncio.get_running_loop())
 
 
 async def serve(config: Config) -> None:
--- a/paddlequay/signals.py
+++ b/paddlequay/signals.py
@@ -2,18 +2,34 @@
 
 Their default actions end it: while modules and configuration are read, and once the event loop is closed.
 Passed over instead, a SIGHUP that came after the configuration was read left the router with the old one.
+They are blocked; one that the system gives to a thread which does not block it, as a library may have begun
+one, is noted and raised again.
 """
 
+import asyncio
 import signal
 
 ACTED_ON = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGUSR1)
+came: set[int] = set()
 
 
 def hold() -> None:
-    """Have those that come wait for `let_through`; where that never comes, they wait until the exit."""
+    """Have those that come wait for `let_through`."""
     signal.pthread_sigmask(signal.SIG_BLOCK, ACTED_ON)
+    for each in ACTED_ON:
+        signal.signal(each, lambda number, _: came.add(number))
 
 
 def let_through() -> None:
-    """All have their handlers: what has come meanwhile is acted on now."""
+    """All have their handlers in the loop: what has come meanwhile is acted on now."""
     signal.pthread_sigmask(signal.SIG_UNBLOCK, ACTED_ON)
+    while came:
+        signal.raise_signal(came.pop())
+
+
+def end(loop: asyncio.AbstractEventLoop) -> None:
+    """Act on none any more: closing the loop would bring their default actions back."""
+    signal.pthread_sigmask(signal.SIG_BLOCK, ACTED_ON)
+    for each in ACTED_ON:
+        loop.remove_signal_handler(each)
+        signal.signal(each, signal.SIG_IGN)
--- a/tests/crossings/test_signals.py
+++ b/tests/crossings/test_signals.py
@@ -62,8 +62,14 @@
     assert "event=serving" in said or name == "SIGTERM"
 
 
+THREAD = "import threading, time\nthreading.Thread(target=time.sleep, args=(60,), daemon=True).start()\n"
+
+
+@pytest.mark.parametrize("beside_main", ["", THREAD], ids=["alone", "beside a library's thread"])
 @pytest.mark.parametrize("name", ["SIGTERM", "SIGHUP", "SIGUSR1"])
-def test_a_signal_while_modules_are_loaded_kills_nothing(p: Platform, name: str, tmp_path: Path) -> None:
+def test_a_signal_while_modules_are_loaded_kills_nothing(
+    p: Platform, name: str, beside_main: str, tmp_path: Path
+) -> None:
     """SIGHUP ended the router before its first line."""
     gate, pipe = tmp_path / "gate", tmp_path / "pipe"
     gate.mkdir()
@@ -72,6 +78,7 @@
         f"import sys\nopen({str(pipe)!r}).read()\nsys.path.remove({str(gate)!r})\n"
         "del sys.modules['tornado']\nimport tornado\n"
     )
+    (gate / "sitecustomize.py").write_text(beside_main)
     process = beside(p, tmp_path, PYTHONPATH=str(gate))
     with open(pipe, "w"):
         process.send_signal(getattr(signal, name))
@@ -81,6 +88,7 @@
         process.terminate()
     _, said = process.communicate(timeout=WAIT)
     assert process.returncode == 0 and "Traceback" not in said
+    assert name != "SIGUSR1" or "why=asked" in said
 
 
 def test_signals_without_end_up_to_the_exit_end_it_in_order(p: Platform) -> None:
