--- a/tests/crossings/rig_list.py
+++ b/tests/crossings/rig_list.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import json
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any, cast
 
 from paddlequay.config import Limits
@@ -121,3 +121,15 @@
 
 def recall(number: int) -> dict[str, Any]:
     return {"no": number, "recall": {"lot": 1, "issued": 1}}
+
+
+def play(work: Coroutine[Any, Any, None]) -> None:
+    async def bounded() -> None:
+        async with asyncio.timeout(20):
+            await work
+
+    asyncio.run(bounded())
+
+
+async def silent(told: Told) -> None:
+    await asyncio.sleep(60)
--- /dev/null
+++ b/tests/crossings/test_list_reading.py
@@ -0,0 +1,102 @@
+"""What the bulletin may write that cannot be used: one line, or one entry, is lost and no other."""
+
+from typing import Any
+
+import pytest
+from rig_list import entry, roster
+
+from paddlequay.protocol.bulletin import Heartbeat, Reader, Roster, Unusable, read_news
+
+DEEP = b'{"no":2,"roster":' + b"[" * 200_000 + b"]" * 200_000 + b"}"
+NUMBERLESS: list[bytes] = [
+    b"garbage",
+    b"\xff\xfe\x00",
+    DEEP,
+    b"1" * 5000,
+    b"-1",
+    b"true",
+    b"null",
+    b"NaN",
+    b"2.5",
+    b"[]",
+    b'{"no":true}',
+    b'{"no":"2","roster":{"instances":[]}}',
+    b'{"no":1e999}',
+    b'{"no":18446744073709551616}',
+    b'{"roster":{"instances":[]}}',
+]
+NUMBERED: list[bytes] = [
+    b'{"no":2,"roster":{"generation":"x","reset":false,"instances":null}}',
+    b'{"no":2,"roster":null}',
+    b'{"no":2,"roster":7}',
+    b'{"no":2,"hello":{}}',
+    b'{"no":2,"recall":{}}',
+    b'{"no":2,"recall":{"lot":1,"item":"7f","issued":1}}',
+    b'{"no":2,"recall":{"lot":true,"issued":1}}',
+    b'{"no":2,"recall":{"item":"-7","issued":1}}',
+    b'{"no":2,"recall":{"lot":1,"issued":NaN}}',
+    b'{"no":2,"recall":{"lot":1,"issued":1e999}}',
+    b'{"no":2,"recall":{"lot":1,"issued":1' + b"0" * 400 + b"}}",
+]
+
+
+@pytest.mark.parametrize("line", NUMBERLESS + NUMBERED, ids=lambda line: line[:24].decode("latin-1"))
+def test_a_line_that_cannot_be_used_is_said_so_and_those_behind_it_come(line: bytes) -> None:
+    first, second = Reader(1 << 20).feed(line + b'\n{"no":3}\n')
+    assert isinstance(first, Unusable) and first.number == (2 if line in NUMBERED else None)
+    assert len(first.why) <= 200 and second == Heartbeat(3)
+
+
+def test_a_line_that_is_too_long_is_passed_over_to_its_end_and_is_not_kept() -> None:
+    reader = Reader(1000)
+    assert not list(reader.feed(b"x" * 900)) and not list(reader.feed(b"x" * 900))
+    assert not reader.buffer
+    assert not list(reader.feed(b"x" * 900))
+    (long, beat) = reader.feed(b'x\n{"no":3}\n')
+    assert isinstance(long, Unusable) and beat == Heartbeat(3)
+
+
+ENTRIES: list[tuple[Any, bool]] = [  # an entry that cannot be used, and whether it drains all the same
+    (entry("bad", lifecycle="terminating", hostPort=None), True),
+    ({"instanceId": "bad", "lifecycle": "terminating"}, True),
+    (entry("bad", lifecycle="terminating", weight="heavy"), True),
+    (entry("bad", lifecycle="resting"), True),
+    (entry("bad", lifecycle=["in_service"]), True),
+    (entry("bad", hostPort="nowhere"), False),
+    (entry("bad", hostPort="a.name:80"), False),
+    (entry("bad", hostPort="10.0.0.1:0"), False),
+    (entry("bad", hostPort="10.0.0.1:1" + "0" * 5000), False),
+    (entry("bad", weight=-1), False),
+    (entry("bad", weight=float("nan")), False),
+    (entry("bad", startedAtMs=10**400), False),
+    (entry("bad", startedAtMs=float("inf")), False),
+    (entry("bad", zone=["here"]), False),
+    (entry("bad", cell="2"), False),
+    (entry("b a d"), False),
+    (entry("b,ad"), False),
+    (entry(""), False),
+    ({"lifecycle": "terminating"}, False),
+    (None, False),
+    ([], False),
+]
+
+
+@pytest.mark.parametrize(("bad", "drains"), ENTRIES)
+def test_an_entry_that_cannot_be_used_does_not_take_the_others_with_it(bad: Any, drains: bool) -> None:
+    news = read_news(roster(2, entry("box-1"), bad, entry("box-2", lifecycle="terminated", hostPort=None)))
+    assert isinstance(news, Roster) and news.unusable == 1 and news.why
+    assert [one.member.name for one in news.listed] == ["box-1", "box-2"]
+    assert news.drained == (("bad",) if drains else ())
+
+
+def test_of_an_id_that_an_event_names_twice_the_last_word_holds() -> None:
+    drain, use = entry("a", lifecycle="terminating"), entry("a", weight=3)
+    for words, state in (([drain, use], "ready"), ([use, drain], "draining")):
+        news = read_news(roster(2, *words))
+        assert isinstance(news, Roster) and [
+            one.member.state.value for one in news.listed if one.member.state
+        ] == [state]
+    news = read_news(roster(2, use, {"instanceId": "a", "lifecycle": "terminating"}))
+    assert isinstance(news, Roster) and (news.listed, news.drained) == ((), ("a",))
+    news = read_news(roster(2, {"instanceId": "a", "lifecycle": "terminating"}, use))
+    assert isinstance(news, Roster) and len(news.listed) == 1 and news.drained == ()
