Count nothing as borne by a plaza's edges while it has none: its first cold ones were overrun

The sum of what routers of uneven traffic send one cold member was measured on the real decisions in virtual time (tests/crossings/rig_cold.py): 20, 30 and 200 routers, one in eight with several times the mean, some started anew, three kinds of ramps and of notes, an outage of discovery with most routers killed, a plaza lost for five seconds, and three times the demand afterwards.

Within N + 2 roots of N + 2 everywhere but where a plaza comes back: 18 of 36 plays were over it, at up to 1.85 N, 61 requests of mean work where N is 33. At fault is Cold.served: what routers sent past the lost plaza counted as its edges' work, at no use of their ways out, so that the work over use a router reckons edges' capacity from rose from 0.57 to 0.95 of the rule's multiple, and the load of one edge doubled. Not the cause: routers started anew (outage: none over) and fills by way of a cold parent (at most 0.5 of the chance allowed).

Now nothing is counted while no member is there, and nothing fades.

--- a/paddlequay/fleet/cold.py
+++ b/paddlequay/fleet/cold.py
@@ -78,6 +78,10 @@
         shared out when it comes: members that leave the list must not raise what the rest seem to bear. A new
         router counts from nothing.
         """
+        if not self.count:
+            # Others did it, past a plaza that is lost: no word on what its members bear when they are back.
+            self.at = now
+            return
         since = now - self.at if self.at > -math.inf else 0.0
         fade = math.exp(-since / MEMORY_S)
         self.rate = self.rate * fade + work / MEMORY_S / self.bearing(now)
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -48,6 +48,18 @@
         assert cold.pace(now, now) == pytest.approx(PACE * 2.5 * 0.17 * 0.5, rel=0.1)
 
 
+def test_what_others_do_while_no_member_is_there_says_nothing_of_what_members_bear() -> None:
+    """All edges of a plaza lost: what went past it was taken for theirs, at no use of their ways out."""
+    cold = Cold(RAMP)
+    cold.reset([None] * 4, 100.0)
+    now = served(cold, 20.0, 2.0, 100.0, 140.0)
+    before = cold.pace(now, now)
+    cold.reset([], now)
+    now = served(cold, 20.0, 0.0, now, now + 5.0)
+    cold.reset([now] * 4, now)
+    assert before and cold.pace(now, now) == pytest.approx(before, rel=0.01)
+
+
 @pytest.mark.parametrize("seed", [1, 2, 3])
 def test_forty_routers_of_unequal_traffic_add_up_to_what_cold_members_bear(seed: int) -> None:
     """Six edges of capacity 10 come back cold at once; routers see a third to three times the mean."""
