--- a/paddlequay/ending.py
+++ b/paddlequay/ending.py
@@ -10,7 +10,12 @@
 
 LOGGER = logging.getLogger(__name__)
 
-LINGERS = 0.05  # seconds of `limits.flush_longest`, the least for the clients to end their side
+# Seconds before all that is open is given up, at `limits.drain_longest`, which goes by the longest deadline:
+WAIT_NO_HALF = 1.0  # a message that is not whole is not waited for any more,
+REFUSE = 0.9  # and connections that are never quiet get nothing new done
+# After it, to the end: it may be killed 0.2 s after.
+LAST_WORDS = 0.15
+LINGERS = 0.05  # the least of that for the peers to end their side
 
 
 async def end(front: Front, twin: Twin, limits: Limits) -> None:
@@ -31,20 +36,20 @@
         await asyncio.sleep(0.01)
     front.replaced = twin.replaced
     front.close_door()
-    while not twin.replaced and now() - began < limits.serve_after_term:
+    while not twin.replaced and now() - began < min(limits.serve_after_term, limits.drain_longest):
         await asyncio.sleep(0.01)
     front.closing = front.giving_way = True
     while now() - began < limits.drain_longest:
-        front.hurrying = now() - began > limits.drain_refuse
+        front.hurrying = now() - began > limits.drain_longest - REFUSE
         front.empty()
-        patient = now() - began < limits.half_longest
+        patient = now() - began < limits.drain_longest - WAIT_NO_HALF
         if not exchange.open and all(each.reader.rest and not patient for each in front.sessions):
             break
         await asyncio.sleep(0.01)
     front.hurrying = True
     front.empty()
     exchange.surrender()
-    over_by = began + limits.drain_longest + limits.flush_longest
+    over_by = began + limits.drain_longest + LAST_WORDS
     left = len(front.sessions)
     while front.sessions and now() < over_by:
         last = now() >= over_by - LINGERS
