Hold a purge against old copies for good: a cache that hung has not dropped its own

A trial that printed asks, answers and purges: n1 asked s- at 15.677 s with no age limit, 6.17 s after the purge of group 13; held there, filled from a source that had hung, it was answered with a copy minted 3.64 s before the purge. At fault: Bounds.max_age passed over purges older than the time within which caches drop copies. The rule has no such end. Now the latest 4,096 objects and groups purged bind always, never past the class's own age limit (which the old form could, where copies are dropped later than the class calls them old).

--- a/paddlequay/bounds.py
+++ b/paddlequay/bounds.py
@@ -1,23 +1,26 @@
 """What binds at the moment of writing: the list, operators' orders and purges, as they stand then."""
 
 import math
+from collections import OrderedDict
 from dataclasses import replace
 
 from paddlequay.asks import Ask, Attempt, Scheduler
 from paddlequay.config import Limits
-from paddlequay.interface import Fetch, Member, State
+from paddlequay.interface import Fetch, Member, RequestClass, State
 from paddlequay.operation import Operation
 
+PURGES_MOST = 4096  # remembered by object or group, the latest: an hour's at one a second
+
 
 class Bounds:
-    """Told of each change, and asked before each write. Bounded by the list and by `purge_memory`."""
+    """Told of each change, and asked before each write. Bounded by the list and by `PURGES_MOST`."""
 
     def __init__(self, operation: Operation, limits: Limits, scheduler: Scheduler) -> None:
         self.operation = operation
         self.limits = limits
         self.scheduler = scheduler
         self.members: dict[str, Member] = {}
-        self.purges: dict[tuple[str, int | None], float] = {}
+        self.purges: OrderedDict[tuple[str, int | None], float] = OrderedDict()
 
     def listed(self, members: tuple[Member, ...], full: bool) -> None:
         """The list, or changes to it."""
@@ -40,20 +43,23 @@
         """An object, or without `key` a group, was purged at `issued`, in Unix seconds; gives its age."""
         place = ("group", group) if key is None else ("key", key)
         self.purges[place] = max(issued, self.purges.pop(place, -math.inf))
-        now = self.scheduler.unix()
-        for old in [old for old, at in self.purges.items() if now - at > self.limits.purge_memory + 1.0]:
-            del self.purges[old]
-        return max(0.0, now - issued)
+        while len(self.purges) > PURGES_MOST:
+            self.purges.popitem(last=False)
+        return max(0.0, self.scheduler.unix() - issued)
+
+    def max_age(self, ask: Ask, kind: RequestClass, decided: float | None) -> float | None:
+        """The age limit that was decided, else the class's own, made narrower by purges; seconds.
 
-    def max_age(self, ask: Ask, decided: float | None) -> float | None:
-        """The age limit that was decided, made narrower by purges that came since; seconds."""
-        now = self.scheduler.unix()
+        Also long after all caches have had the time to drop older copies: one that hung meanwhile has not,
+        and no copy that may be served is older than the last purge.
+        """
+        if kind.uncacheable:
+            return decided
         at = max(
             self.purges.get(("key", ask.key), -math.inf), self.purges.get(("group", ask.group), -math.inf)
         )
-        if now - at > self.limits.purge_memory:
-            return decided
-        return min(math.inf if decided is None else decided, max(0.001, now - at))
+        age = max(0.001, self.scheduler.unix() - at)
+        return decided if age >= (decided or kind.fresh or math.inf) else age
 
     def usable(self, name: str) -> bool:
         """Whether anything may be sent to a member, or filled from it."""
--- a/paddlequay/config.py
+++ b/paddlequay/config.py
@@ -87,9 +87,6 @@
     # Less time left than this and nothing is written any more: caches are told whole milliseconds.
     least_budget: float = 0.002
     attempts: int = 6
-    # Caches have dropped older copies by then. A purge and a drain hold for the next write, at once: nothing
-    # here stands in for the time that the settings give for either.
-    purge_memory: float = 6.0
     # The bulletin.
     bulletin_line: int = 4 * 1024 * 1024
     # Heartbeats come every second, and what is out counts as told after 7 s, at every site: these times add
@@ -275,7 +272,6 @@
         cache_silence=1.1 * mean_aim,
         cache_usual=0.5 * mean_aim,
         attempts=int(positive(wire, "settings.limits.attemptsCap", 6, least=1)),
-        purge_memory=positive(wire, "settings.extra.clearedWithin", 6.0),
         **end_times(longest),
     )
 
--- a/paddlequay/exchange.py
+++ b/paddlequay/exchange.py
@@ -213,7 +213,7 @@
             budget=left,
             source=None if fetch.source == fetch.target else fetch.source,
             keep=fetch.keep,
-            max_age=self.bounds.max_age(ask, fetch.max_age),
+            max_age=self.bounds.max_age(ask, self.router.kinds[ask.class_name], fetch.max_age),
             join=fetch.join,
             only_held=fetch.only_held,
             renew=fetch.renew,
--- a/paddlequay/tier.py
+++ b/paddlequay/tier.py
@@ -57,7 +57,6 @@
         held_bodies=1024 * 1024,
         answer_margin=0.0,
         attempts=32,
-        purge_memory=settings.node.purge_memory,
         cache_silence=1.1 * sum(kind.aim for kind in settings.classes) / len(settings.classes),
         drain_longest=min(3.0, max(kind.deadline for kind in settings.classes)) + 0.5,
     )
