Count no work that parents serve by themselves as borne by edges

At fault: Answers.served told the edges' pace of every answer's work, also of those that a parent or the origin gave past the edges.

--- a/paddlequay/policy/answers.py
+++ b/paddlequay/policy/answers.py
@@ -70,7 +70,7 @@
         filled = attempt.fills if event.note is None else event.note in FILLS
         work = self.know.latency.work[item.kind.name]
         share = filled * (FILL_SHARE if event.note is None else 1.0)
-        cold[Tier.EDGE].served(work, now, self.know.room.used())
+        cold[Tier.EDGE].served(work * (attempt.target.tier is Tier.EDGE), now, self.know.room.used())
         cold[Tier.PARENT].served(work * share, now)
         if filled:
             said += self.know.health.succeed(source, now)
--- a/tests/crossings/test_cold_fleet.py
+++ b/tests/crossings/test_cold_fleet.py
@@ -67,20 +67,22 @@
 
 
 PLAYS = [
-    *(("words", routers, play) for routers in (20, 30, 200) for play in (lost_plaza, outage)),
-    *((site, 30, play) for site in ("notes", "nothing") for play in (lost_plaza, outage)),
+    *(("words", routers, play, 0.15) for routers in (20, 30, 200) for play in (lost_plaza, outage)),
+    *((site, 30, play, 0.15) for site in ("notes", "nothing") for play in (lost_plaza, outage)),
+    ("words", 20, lost_plaza, 0.35),
 ]
 
 
-@pytest.mark.parametrize(("site", "routers", "play"), PLAYS)
+@pytest.mark.parametrize(("site", "routers", "play", "unequal"), PLAYS)
 def test_all_that_reaches_a_cold_member_stays_within_its_budget(
-    site: str, routers: int, play: Callable[[Fleet], None]
+    site: str, routers: int, play: Callable[[Fleet], None], unequal: float
 ) -> None:
     """Its plaza lost for five seconds, an edge was sent half as much again as it bears.
 
-    What went past the plaza meanwhile counted as borne by its edges, and their uses as none.
+    What went past the plaza meanwhile counted as borne by its edges, and their uses as none; and what parents
+    served by themselves counted as the edges' work, which the smallest of unequal edges could not bear.
     """
-    fleet = Fleet(replace(SITES[site], routers=routers, unequal=0.15), seed=4)
+    fleet = Fleet(replace(SITES[site], routers=routers, unequal=unequal), seed=4)
     play(fleet)
     fleet.run(END)
     windows = [
