Have an end take in who waits at the door though no descriptor is left

The first accept that found no descriptor (EMFILE) at the end left the rest of the listen queue to be reset with what it had sent. Resting connections now give theirs, a turn at a time, until requests on open connections stop coming (serve_after_term). Seen by test_an_end_takes_in_who_waits_at_the_door_though_no_descriptor_is_left, which fails with the old loop (reset).

--- a/paddlequay/config.py
+++ b/paddlequay/config.py
@@ -89,11 +89,6 @@
     attempts: int = 6
     # The bulletin.
     bulletin_line: int = 4 * 1024 * 1024
-    # Heartbeats come every second, and what is out counts as told after 7 s, at every site: these times add
-    # up to less, also where a connection that came up late follows a silence.
-    bulletin_silence: float = 2.2
-    bulletin_connect: float = 1.0
-    bulletin_pause: float = 0.2
     # The end; see `end_times`.
     accept_after_term: float = 0.5  # connections keep coming for 0.4 s after SIGTERM,
     serve_after_term: float = 0.75  # and requests on open ones 0.2 s longer
--- a/paddlequay/ending.py
+++ b/paddlequay/ending.py
@@ -35,7 +35,8 @@
     while not twin.replaced and now() - began < limits.accept_after_term:
         await asyncio.sleep(0.01)
     front.replaced = twin.replaced
-    front.close_door()
+    while not front.close_door(last=now() - began >= limits.serve_after_term):
+        await asyncio.sleep(0.01)
     while not twin.replaced and now() - began < min(limits.serve_after_term, limits.drain_longest):
         await asyncio.sleep(0.01)
     front.closing = front.giving_way = True
--- a/paddlequay/net/clients.py
+++ b/paddlequay/net/clients.py
@@ -130,18 +130,34 @@
         self.listener = listener
         self.stop_listening = door.on_connection(listener, self.accepted, self.limits.accepts)
 
-    def close_door(self) -> None:
-        """Take in all that waits to be accepted, then close: what is left in the queue would be reset."""
-        if self.listener is None or self.stop_listening is None:
-            return
-        self.stop_listening()
-        try:
-            while True:
-                self.accepted(self.listener.accept()[0])
-        except OSError:
-            pass
+    def close_door(self, last: bool) -> bool:
+        """Take in all that waits to be accepted, then close: what is left in the queue would be reset.
+
+        Where no descriptor is left, connections at rest give theirs. False while some still wait: who was
+        taken in is read first and may be at rest a turn later. `last` closes all the same.
+        """
+        if self.listener is None:
+            return True
+        if self.stop_listening is not None:
+            self.stop_listening()
+            self.stop_listening = None
+        while True:
+            try:
+                taken = self.listener.accept()[0]
+            except BlockingIOError:
+                break
+            except ConnectionAbortedError:
+                continue
+            except OSError:
+                if not self.make_room():
+                    if not last:
+                        return False
+                    break
+            else:
+                self.accepted(taken)
         self.listener.close()
-        self.listener = self.stop_listening = None
+        self.listener = None
+        return True
 
     def accepted(self, connection: socket.socket) -> None:
         limits = self.limits
--- a/tests/crossings/test_descriptors.py
+++ b/tests/crossings/test_descriptors.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterator
 
 import pytest
-from harness import Client, Platform, platform, until
+from harness import WAIT, Client, Platform, platform, until
 from rig_end import asked, reply, served
 
 from paddlequay.protocol import msgpack
@@ -61,6 +61,21 @@
     assert not any("Traceback" in line for line in p.log)
 
 
+def test_an_end_takes_in_who_waits_at_the_door_though_no_descriptor_is_left(p: Platform) -> None:
+    """The first refused accept left the rest of the queue to be reset."""
+    early = p.client()
+    served(p, early)
+    lower(p, free=4)
+    crowd = [Client(p.address) for _ in range(20)]
+    full(p)
+    late = crowd.pop()
+    p.process.terminate()
+    late.ask()  # in the queue, behind those that say nothing
+    p.box.answer("HIT", "-", b"x")
+    assert late.answer()[3][0] == b"x"
+    assert p.process.wait(2 * WAIT) == 0
+
+
 def test_the_console_waits_for_a_descriptor_as_well(p: Platform) -> None:
     p.ready()
     early = p.client()
