Write nothing to a member that has moved since it was chosen; events in any order

Random events in any order on the real router and exchange, with what may have run reckoned anew from the writes and their ends, found one more: the list moves a target to another zone or cell between the decision and the write of the first attempt. It was written to a cache of another zone, and the repeat was bound to the group in which the first stood when it was chosen, not to the one in which it ran. Bounds.allow now holds the target's place as it was chosen, so both are the same.

--- a/paddlequay/bounds.py
+++ b/paddlequay/bounds.py
@@ -67,14 +67,17 @@
     def allow(self, attempt: Attempt, now: float) -> bool:
         """Whether an attempt may still be written at `now`, in seconds of the decisions' clock.
 
-        Target and source may be used, neither has started anew since they were chosen, and what may run a
-        second time is inside the window and the group of the first.
+        Target and source may be used, neither has started anew or moved since they were chosen, and what may
+        run a second time is inside the window and the group of the first.
         """
         fetch = attempt.fetch
         for then, name in zip(attempt.decided, (fetch.target, fetch.source), strict=True):
-            if not self.usable(name):
+            if then is None or not self.usable(name):
                 return False
-            if then is not None and (self.members[name].started or 0) > (then.started or 0):
+            listed = self.members[name]
+            if (listed.started or 0) > (then.started or 0):
                 return False  # cold and empty now, and chosen as it was before
+            if (listed.zone, listed.cell) != (then.zone, then.cell):
+                return False  # caches of other zones are not asked; repeats are bound to where the first ran
         bound = fetch.repeat
         return bound is None or (now < bound.until and bound.beside(self.members[fetch.target]))
--- a/tests/crossings/rig_repeats.py
+++ b/tests/crossings/rig_repeats.py
@@ -130,6 +130,7 @@
     members: tuple[Member, ...] = MEMBERS
     clock: Clock = field(default_factory=Clock)
     replies: dict[str, list[Reply]] = field(default_factory=dict)
+    replied: dict[str, float] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         settings = Settings(
@@ -158,7 +159,12 @@
     def ask(self, kind: str, id: str = "a", key: int = 7, gone: Callable[[], bool] | None = None) -> None:
         self.replies[id] = []
         ask = Ask(id, kind, DEADLINE, f"{key:016x}", key, 0, key % 2)
-        self.exchange.ask(ask, self.replies[id].append, gone)
+
+        def reply(given: Reply) -> None:
+            self.replies[id].append(given)
+            self.replied[id] = self.clock.now
+
+        self.exchange.ask(ask, reply, gone)
 
 
 def keyed(group: str | None, window: float | None = 0.3) -> RequestClass:
--- a/tests/crossings/test_repeats.py
+++ b/tests/crossings/test_repeats.py
@@ -129,3 +129,15 @@
     for state in (State.DRAINING, State.READY):
         rig.exchange.list_changed((entry("origin-0", "hub", None, "origin", state=state),), False)
     assert rig.side.write() is not None
+
+
+def test_nothing_is_written_to_a_cache_that_has_moved_to_another_zone_since_it_was_chosen(
+    tmp_path: Path,
+) -> None:
+    rig = Rig(tmp_path, (keyed("all"), FEE, PAGE))
+    for kind in ("hold", "fee", "page"):
+        rig.ask(kind, kind)
+        waits = rig.side.waiting[-1]
+        rig.exchange.list_changed((entry(waits.fetch.target, "there", 0),), False)
+        assert waits.over or rig.side.write(waits) is None
+    assert not rig.side.writes
