Look at what has come on a connection before an attempt's time is over

An answer and its time-out due in one turn of the loop: Exchange.expire judged before the connection's task had read, and a charge whose answer lay in the socket ended as may-have-run. Where something is unread, the time-out is put off once, by two turns of the loop. Four cases of tests/crossings/test_time_out.py fail without it (the attempt is over at its time).

--- a/paddlequay/asks.py
+++ b/paddlequay/asks.py
@@ -119,6 +119,11 @@
 class Carrier(Protocol):
     """What has taken charge of an attempt, such as a connection; says whether it was silent since."""
 
+    @property
+    def unread(self) -> bool:
+        """Whether something has come that was not looked at yet."""
+        ...
+
     def abandon(self, attempt: "Attempt") -> bool: ...
 
 
--- a/paddlequay/exchange.py
+++ b/paddlequay/exchange.py
@@ -54,6 +54,8 @@
 
 LOGGER = logging.getLogger(__name__)
 
+LOOK_FIRST = 0.002  # seconds: two turns of the loop, in which what has come is read and answered
+
 
 class Exchange:
     """Open requests, timers, events in, actions out."""
@@ -340,9 +342,11 @@
             self.failed("start", attempt)  # such as no descriptor left for its connection
             self.take_back(attempt)
 
-    def expire(self, attempt: Attempt) -> None:
-        """Out of time: proved idle where it was never written, else it may have run."""
-        if not attempt.over:
+    def expire(self, attempt: Attempt, last: bool = False) -> None:
+        """Out of time: proved idle where never written, else it may have run. What has come is read first."""
+        if not attempt.over and not last and attempt.carrier is not None and attempt.carrier.unread:
+            attempt.timer = self.scheduler.later(LOOK_FIRST, lambda: self.expire(attempt, last=True))
+        elif not attempt.over:
             ran = attempt.written is not None
             silent = self.drop(attempt)
             self.end(attempt, End(Outcome.TIMEOUT if ran else Outcome.NOT_SENT, silent=silent))
--- a/tests/crossings/rig_repeats.py
+++ b/tests/crossings/rig_repeats.py
@@ -74,6 +74,7 @@
         self.waiting: list[Attempt] = []
         self.out: list[Attempt] = []
         self.writes: list[Write] = []
+        self.unread = False
 
     def start(self, attempt: Attempt) -> None:
         attempt.carrier = self
--- /dev/null
+++ b/tests/crossings/test_time_out.py
@@ -0,0 +1,38 @@
+"""An answer and its time-out in one turn of the loop: what has come is looked at first."""
+
+from pathlib import Path
+
+import pytest
+from rig_repeats import FEE, PAGE, Rig
+
+from paddlequay.asks import Attempt, End, Verdict
+from paddlequay.exchange import LOOK_FIRST
+from paddlequay.interface import Outcome, RequestClass
+
+
+def at_its_time(rig: Rig, kind: RequestClass) -> Attempt:
+    """An attempt that is out, at the moment of its time-out, with something unread on its connection."""
+    rig.ask(kind.name)
+    attempt = rig.side.write()
+    assert attempt is not None
+    rig.side.unread = True
+    rig.clock.move(attempt.expires - rig.clock.now)
+    assert not attempt.over
+    return attempt
+
+
+@pytest.mark.parametrize("kind", [PAGE, FEE])
+def test_an_answer_that_has_come_by_its_time_out_counts(tmp_path: Path, kind: RequestClass) -> None:
+    rig = Rig(tmp_path, (kind,))
+    rig.exchange.end(at_its_time(rig, kind), End(Outcome.SERVED, b"x"))
+    assert [reply.verdict for reply in rig.replies["a"]] == [Verdict.SERVED]
+    rig.clock.move(1.0)
+    assert len(rig.replies["a"]) == 1 and not rig.exchange.open
+
+
+@pytest.mark.parametrize("kind", [PAGE, FEE])
+def test_what_has_come_for_others_puts_a_time_out_off_once(tmp_path: Path, kind: RequestClass) -> None:
+    rig = Rig(tmp_path, (kind,))
+    attempt = at_its_time(rig, kind)
+    rig.clock.move(1.5 * LOOK_FIRST)  # there is something unread all the while
+    assert attempt.over and rig.counters.counts["ended.timeout"] == 1
