Leave who comes while nobody is at rest in the listen queue, not turned away

The door now takes no more in a turn than there is room for, one where one is made, and lets the listener alone for 0.05 s where none can be. Fails without it: the request is reset.

--- a/paddlequay/net/clients.py
+++ b/paddlequay/net/clients.py
@@ -128,7 +128,7 @@
     def listen(self, listener: socket.socket) -> None:
         listener.listen(door.BACKLOG)
         self.listener = listener
-        self.stop_listening = door.on_connection(listener, self.accepted, self.limits.accepts)
+        self.stop_listening = door.on_connection(listener, self.accepted, self.places)
 
     def close_door(self, last: bool) -> bool:
         """Take in all that waits to be accepted, then close: what is left in the queue would be reset.
@@ -159,6 +159,11 @@
         self.listener = None
         return True
 
+    def places(self) -> int:
+        """How many connections may be taken in this turn: where there is no room, one that is made."""
+        free = self.shares.clients - len(self.sessions)
+        return min(self.limits.accepts, free) if free > 0 else int(self.make_room())
+
     def accepted(self, connection: socket.socket) -> None:
         limits = self.limits
         if len(self.sessions) >= self.shares.clients and not self.make_room():
--- a/paddlequay/net/console.py
+++ b/paddlequay/net/console.py
@@ -56,7 +56,7 @@
 
     def listen(self, listener: socket.socket) -> None:
         listener.listen(64)
-        door.on_connection(listener, self.accepted, self.limits.console_connections)
+        door.on_connection(listener, self.accepted, lambda: self.limits.console_connections)
 
     def accepted(self, connection: socket.socket) -> None:
         stream = IOStream(connection, max_buffer_size=2 * self.limits.console_head)
--- a/paddlequay/net/door.py
+++ b/paddlequay/net/door.py
@@ -45,13 +45,13 @@
 
 
 def on_connection(
-    listener: socket.socket, taken: Callable[[socket.socket], None], most: int
+    listener: socket.socket, taken: Callable[[socket.socket], None], most: Callable[[], int]
 ) -> Callable[[], None]:
     """Accept at most so many in one turn of the loop: all that wait at once would be descriptors beyond the
     limit, and what the earliest of them sent would be read after the last has come. Gives how to stop.
 
-    Where the system gives no descriptor, the listener is let alone for `FULL_PAUSE`: it stays readable, and
-    the loop would do nothing else. What waits keeps its place in the queue.
+    Where there is room for none, or the system gives no descriptor, the listener is let alone for
+    `FULL_PAUSE`: it stays readable, and the loop would do nothing else. What waits keeps its place.
     """
     loop = IOLoop.current()
     resuming: object | None = None
@@ -65,13 +65,16 @@
         return True
 
     def accept(fd: socket.socket, events: int) -> None:
-        for _ in range(most):
+        room = most()
+        if room < 1:
+            return pause("no room")
+        for _ in range(room):
             try:
                 connection = listener.accept()[0]
             except (BlockingIOError, ConnectionAbortedError):
                 return
             except OSError as error:
-                return pause(error)
+                return pause(errno.errorcode.get(error.errno or 0, str(error)))
             try:
                 taken(connection)
             except Exception:
@@ -85,12 +88,11 @@
         resuming = None
         loop.add_handler(listener, accept, IOLoop.READ)
 
-    def pause(error: OSError) -> None:
+    def pause(why: str) -> None:
         nonlocal resuming
         loop.remove_handler(listener)
         resuming = loop.call_later(FULL_PAUSE, start)
         if tells():
-            why = errno.errorcode.get(error.errno or 0, str(error))
             log.event(LOGGER, logging.WARNING, "accept_paused", why=why)
 
     def stop() -> None:
--- a/paddlequay/net/tier.py
+++ b/paddlequay/net/tier.py
@@ -204,7 +204,7 @@
     def listen(self, listener: socket.socket) -> None:
         listener.listen(1024)
         self.address = listener.getsockname()[:2]
-        self.stop_accepting = on_connection(listener, self.accepted, self.limits.accepts)
+        self.stop_accepting = on_connection(listener, self.accepted, lambda: self.limits.accepts)
 
     def accepted(self, connection: socket.socket) -> None:
         if len(self.sessions) >= self.limits.client_connections:
--- a/paddlequay/net/twin.py
+++ b/paddlequay/net/twin.py
@@ -190,7 +190,7 @@
             return
         self.stop()
         self.listener = listener
-        self.stop_listening = door.on_connection(listener, self.accepted, most=4)
+        self.stop_listening = door.on_connection(listener, self.accepted, lambda: 4)
 
     async def alone(self) -> None:
         """Wait until the older process has ended."""
--- a/tests/crossings/test_clients_closing.py
+++ b/tests/crossings/test_clients_closing.py
@@ -7,8 +7,9 @@
 from pathlib import Path
 
 import pytest
-from rig_clients import Rig, answers, arrived, call, play, turns, until
+from rig_clients import WAIT, Rig, answers, arrived, call, play, turns, until
 
+from paddlequay.net.door import FULL_PAUSE
 from paddlequay.operation import DRAIN
 from paddlequay.protocol import msgpack
 
@@ -63,6 +64,31 @@
     play(tmp_path, scene, client_connections=4)
 
 
+def test_who_comes_while_nobody_is_at_rest_waits_at_the_door_until_somebody_is(tmp_path: Path) -> None:
+    """Taken in to be turned away, its first request was lost with no answer."""
+
+    async def scene(rig: Rig) -> None:
+        busy = [await rig.client() for _ in range(2)]
+        for number, (client, _) in enumerate(busy):
+            client.sendall(call(1, id=number + 1))
+        await until(lambda: len(rig.side.started) == 2, "both wait for their answers")
+        rig.listener.setblocking(False)
+        rig.front.listen(rig.listener)
+        late = socket.create_connection(rig.listener.getsockname(), WAIT)
+        rig.clients.append(late)
+        late.sendall(call(1, id=3))
+        await asyncio.sleep(3 * FULL_PAUSE)
+        assert len(rig.side.started) == 2 and not rig.counters.counts["turned_away_connections"]
+        rig.serve(rig.side.started[0])
+        assert (await answers(busy[0][0], 1))[0][1] == 1
+        await until(lambda: len(rig.side.started) == 3, "the late one's request is sent on")
+        rig.serve(rig.side.started[2])
+        assert (await answers(late, 1))[0][2] is None
+        assert rig.front.close_door(last=True)
+
+    play(tmp_path, scene, client_connections=2)
+
+
 def test_who_sends_a_byte_at_the_moment_of_another_s_connect_pushes_nobody_out(tmp_path: Path) -> None:
     """Passed over for a byte that is unread, those that say nothing whole left the idle one to make room."""
 
