--- a/paddlequay/exchange.py
+++ b/paddlequay/exchange.py
@@ -6,10 +6,8 @@
 """
 
 import logging
-import math
 from collections import deque
 from collections.abc import Callable
-from dataclasses import replace
 
 from paddlequay import log
 from paddlequay.asks import (
@@ -25,6 +23,7 @@
     Verdict,
     Watch,
 )
+from paddlequay.bounds import Bounds
 from paddlequay.config import Limits
 from paddlequay.counters import Counters
 from paddlequay.interface import (
@@ -45,7 +44,6 @@
     Refuse,
     Request,
     SetTimer,
-    State,
     Subscribe,
     Surrender,
     TimerDue,
@@ -81,8 +79,8 @@
         self.open: dict[str, Open] = {}
         self.ids: set[str] = set()
         self.held = 0  # bytes of bodies of open requests
-        self.members: dict[str, Member] = {}
-        self.purges: dict[tuple[str, int | None], float] = {}
+        self.bounds = Bounds(operation, limits, scheduler)
+        self.members = self.bounds.members
         self.serials = 0
         self.queue: deque[Event] = deque()
         self.running = False
@@ -166,36 +164,19 @@
 
     def list_changed(self, members: tuple[Member, ...], full: bool) -> None:
         """The list, or changes to it; holds for all that is not written yet."""
-        self.operation.saw(member.name for member in members)
-        if full:
-            self.members.clear()
-        for member in members:
-            if member.state is State.GONE:
-                self.members.pop(member.name, None)  # its name never comes again: kept, the table only grows
-            else:
-                self.members[member.name] = member
-        self.deliver(MembersChanged(tuple(map(self.as_ordered, members)), full))
-
-    def as_ordered(self, member: Member) -> Member:
-        """A member as the decisions see it: what operators leave out drains, whatever the list says."""
-        if member.state is not State.GONE and self.operation.banned(member.name):
-            return replace(member, state=State.DRAINING)
-        return member
+        self.bounds.listed(members, full)
+        self.deliver(MembersChanged(tuple(map(self.bounds.as_ordered, members)), full))
 
     def ordered(self, name: str) -> None:
         """Operators leave a cache out, or put it back: holds for all that is not written yet."""
         member = self.members.get(name.removeprefix(OUT)) if name.startswith(OUT) else None
         if member is not None:
-            self.deliver(MembersChanged((self.as_ordered(member),)))
+            self.deliver(MembersChanged((self.bounds.as_ordered(member),)))
 
     def purged(self, key: int | None, group: int | None, issued: float) -> None:
         """An object or a group was purged at `issued`, in Unix seconds."""
-        place = ("group", group) if key is None else ("key", key)
-        self.purges[place] = max(issued, self.purges.pop(place, -math.inf))
-        now = self.scheduler.unix()
-        for old in [old for old, at in self.purges.items() if now - at > self.limits.purge_memory + 1.0]:
-            del self.purges[old]
-        self.deliver(Purged(max(0.0, now - issued), group, key))
+        age = self.bounds.purged(key, group, issued)
+        self.deliver(Purged(age, group, key))
 
     # --- from the caches' side ---
 
@@ -203,14 +184,15 @@
         """What to write, asked at the moment of writing; None when it must not be written any more.
 
         A decision may be written late, after a connection came up or a socket took bytes again. What held
-        when it was made is looked at once more: drains of target and source, purges, and the time left.
+        when it was made is looked at once more: drains and new starts of target and source, the window and
+        the group of a repeat, purges, and the time left.
         """
         if attempt.over or self.left(attempt.owner):
             return None
         item, fetch = attempt.owner, attempt.fetch
-        left = attempt.expires - self.scheduler.monotonic()
-        names = {fetch.target, fetch.source}
-        if left < self.limits.least_budget or not all(map(self.usable, names)):
+        now = self.scheduler.monotonic()
+        left = attempt.expires - now
+        if left < self.limits.least_budget or not self.bounds.allow(attempt, now + self.offset):
             self.counters.add("not_sent")
             self.end(attempt, End(Outcome.NOT_SENT))
             return None
@@ -227,30 +209,17 @@
             part=ask.part,
             body=ask.body,
             known=ask.known,
+            dedupe=ask.dedupe,
             budget=left,
             source=None if fetch.source == fetch.target else fetch.source,
             keep=fetch.keep,
-            max_age=self.max_age(ask, fetch.max_age),
+            max_age=self.bounds.max_age(ask, self.router.kinds[ask.class_name], fetch.max_age),
             join=fetch.join,
             only_held=fetch.only_held,
             renew=fetch.renew,
             extra=NOTHING if ask.extra is None else ask.extra(fetch.target),
         )
 
-    def usable(self, name: str) -> bool:
-        member = self.members.get(name)
-        return member is not None and member.state in (None, State.READY) and not self.operation.banned(name)
-
-    def max_age(self, ask: Ask, decided: float | None) -> float | None:
-        """The age limit that was decided, made narrower by purges that came since."""
-        now = self.scheduler.unix()
-        at = max(
-            self.purges.get(("key", ask.key), -math.inf), self.purges.get(("group", ask.group), -math.inf)
-        )
-        if now - at > self.limits.purge_memory:
-            return decided
-        return min(math.inf if decided is None else decided, max(0.001, now - at))
-
     def written(self, attempt: Attempt) -> None:
         attempt.written = self.scheduler.monotonic()
         self.counters.add("sent")
@@ -301,19 +270,29 @@
             while self.queue:
                 event = self.queue.popleft()
                 try:
-                    for action in self.router.handle(event, self.scheduler.monotonic() + self.offset):
-                        self.carry_out(action)
+                    actions = self.router.handle(event, self.scheduler.monotonic() + self.offset)
                 except Exception:
-                    # One request's failure never stops the program: it is answered, the others go on.
-                    if self.counters.add_once("decision_errors"):
-                        LOGGER.exception("decision_failed", extra={"fields": {"on": type(event).__name__}})
-                    self.abort(event)
+                    self.failed("decision", event)
+                    self.abort(event.id if isinstance(event, Request) else getattr(event, "request", ""))
+                    continue
+                for action in actions:
+                    # Each for itself: one event may concern many requests, as when a member leaves.
+                    try:
+                        self.carry_out(action)
+                    except Exception:
+                        self.failed("action", action)
+                        self.abort(getattr(action, "request", ""))
         finally:
             self.running = False
 
-    def abort(self, event: Event) -> None:
-        name = event.id if isinstance(event, Request) else getattr(event, "request", None)
-        item = self.open.get(name) if name else None
+    def failed(self, what: str, on: object) -> None:
+        """An error that is one request's own and never stops the program; the first of a kind is logged."""
+        if self.counters.add_once(f"{what}_errors"):
+            LOGGER.exception(f"{what}_failed", extra={"fields": {"on": type(on).__name__}})
+
+    def abort(self, serial: str) -> None:
+        """Answer a request for which something failed, and give up what is out for it."""
+        item = self.open.get(serial)
         if item is not None:
             self.finish(item, Reply(Verdict.FAILED))
             self.queue.append(ClientGone(item.serial))
@@ -350,11 +329,16 @@
         expires = item.deadline if not action.timeout else min(item.deadline, now + action.timeout)
         attempt = Attempt(item, len(item.attempts), action, now, expires)
         attempt.once = self.router.kinds[item.ask.class_name].effect is not Effect.SAFE
+        attempt.decided = self.bounds.chosen(action)
         item.attempts.append(attempt)
         if len(item.attempts) > self.limits.attempts or expires <= now or self.caches is None:
             return self.end(attempt, End(Outcome.NOT_SENT))
         attempt.timer = self.scheduler.later(expires - now, lambda: self.expire(attempt))
-        self.caches.start(attempt)
+        try:
+            self.caches.start(attempt)
+        except Exception:
+            self.failed("start", attempt)  # such as no descriptor left for its connection
+            self.take_back(attempt)
 
     def expire(self, attempt: Attempt) -> None:
         """Out of time: proved idle where it was never written, else it may have run."""
@@ -367,19 +351,30 @@
         item = self.open.get(action.request)
         if item is None or action.attempt >= len(item.attempts) or item.attempts[action.attempt].over:
             return
-        attempt = item.attempts[action.attempt]
+        self.take_back(item.attempts[action.attempt])
+
+    def take_back(self, attempt: Attempt) -> None:
+        """Give up an attempt by our own will: proved idle where it was never written."""
         ran = attempt.written is not None
         self.drop(attempt)
         self.end(attempt, End(Outcome.CANCELLED if ran else Outcome.NOT_SENT))
 
     def drop(self, attempt: Attempt) -> bool:
-        return attempt.carrier is not None and attempt.carrier.abandon(attempt)
+        """Have its carrier forget it, and was that silent since? Its end here does not hang on that."""
+        try:
+            return attempt.carrier is not None and attempt.carrier.abandon(attempt)
+        except Exception:
+            self.failed("abandon", attempt)
+            return False
 
     def finish(self, item: Open, reply: Reply) -> None:
         """The one final answer."""
         self.forget(item)
         self.counters.add(f"answered.{reply.verdict.value}")
-        item.reply(reply)
+        try:
+            item.reply(reply)
+        except Exception:
+            self.failed("reply", reply)  # its client's affair: the decisions hear of the end all the same
 
     def forget(self, item: Open) -> None:
         """The request is over; attempts that are still out are given up."""
--- a/paddlequay/net/twin.py
+++ b/paddlequay/net/twin.py
@@ -8,16 +8,16 @@
 import logging
 import os
 import socket
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from pathlib import Path
-from typing import Any
 
 from tornado.iostream import IOStream, StreamClosedError
-from tornado.netutil import add_accept_handler
 
 from paddlequay import log
+from paddlequay.background import Background
 from paddlequay.config import Limits
 from paddlequay.counters import Counters
+from paddlequay.net import door
 from paddlequay.operation import Mark, Operation
 from paddlequay.protocol import twin as wire
 from paddlequay.shares import Held, Shares
@@ -32,7 +32,7 @@
         self.twin, self.stream = twin, stream
         self.reader = wire.Reader(twin.limits.twin_line)
         self.known = asyncio.Event()  # the other's state has come, or the link has ended
-        self.ready = False
+        self.ready = self.told = False
         self.awaited: dict[int, asyncio.Future[bool]] = {}
 
     def send(self, message: wire.Message) -> None:
@@ -68,6 +68,10 @@
             pass
         except wire.MalformedError as error:
             log.event(LOGGER, logging.WARNING, "bad_twin_line", why=str(error))
+        except Exception:
+            # The link ends, and what follows its end is done: else it would count as open for good.
+            self.twin.counters.add("twin_errors")
+            LOGGER.exception("twin_failed")
         finally:
             self.stream.close()
             self.known.set()
@@ -79,6 +83,7 @@
         operation = self.twin.operation
         match message:
             case wire.State():
+                self.told = True
                 operation.saw(message.listed)
                 operation.take_all(message.marks)
                 if self is self.twin.older:
@@ -87,7 +92,7 @@
             case wire.Order():
                 operation.take(message.name, message.mark)
                 self.twin.counters.add("orders_from_twin")
-                self.twin.spawn(self.pass_on(message))
+                self.twin.background.spawn("twin", self.pass_on(message))
             case wire.Confirmed():
                 done = self.awaited.get(message.number)
                 if done is not None and not done.done():
@@ -116,7 +121,7 @@
         self.newer: Link | None = None
         self.numbers = 0
         self.held: Held | None = None
-        self.tasks: set[asyncio.Task[None]] = set()
+        self.background = Background(counters)
         self.closed = False
         self.found = asyncio.Event()  # whether there is an older process is known
         self.knowledge: Callable[[], dict[str, float]] = dict
@@ -132,30 +137,35 @@
         """Whether a newer process takes clients."""
         return self.newer is not None and self.newer.ready
 
-    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.ensure_future(work)
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
-
     async def find(self) -> bool:
         """Look for an older process and learn what it knows; then be found in its place."""
-        stream = IOStream(socket.socket(socket.AF_UNIX, socket.SOCK_STREAM))
-        try:
-            await asyncio.wait_for(stream.connect(str(self.path)), self.limits.twin_connect)
-        except (TimeoutError, StreamClosedError, OSError):
-            stream.close()
-        else:
-            self.older = Link(self, stream)
-            self.spawn(self.follow_older(self.older))
-        self.found.set()
-        if self.older is not None:
+        now = asyncio.get_running_loop().time
+        until = now() + self.limits.twin_connect
+        while (link := await self.reach()) is not None:
+            self.older = link
+            self.background.spawn("twin", self.follow_older(link))
             try:
-                await asyncio.wait_for(self.older.known.wait(), self.limits.twin_connect)
+                await asyncio.wait_for(link.known.wait(), self.limits.twin_connect)
             except TimeoutError:
                 log.event(LOGGER, logging.WARNING, "older_process_silent")
+            if link.told or not link.stream.closed() or now() >= until:
+                break
+            # Ended without a word: it is going, or has a newer one beside it, soon to be found in its place.
+            await asyncio.sleep(0.02)
+        self.found.set()
         self.listen()
         return self.older is not None
 
+    async def reach(self) -> Link | None:
+        """A link to whoever listens at the path."""
+        stream = IOStream(socket.socket(socket.AF_UNIX, socket.SOCK_STREAM))
+        try:
+            await asyncio.wait_for(stream.connect(str(self.path)), self.limits.twin_connect)
+        except (TimeoutError, StreamClosedError, OSError):
+            stream.close()
+            return None
+        return Link(self, stream)
+
     async def follow_older(self, link: Link) -> None:
         await link.run()
         self.older = None
@@ -180,7 +190,7 @@
             return
         self.stop()
         self.listener = listener
-        self.stop_listening = add_accept_handler(listener, self.accepted)
+        self.stop_listening = door.on_connection(listener, self.accepted, most=4)
 
     async def alone(self) -> None:
         """Wait until the older process has ended."""
@@ -193,14 +203,14 @@
             self.listener.close()
             self.stop_listening = self.listener = None
 
-    def accepted(self, connection: socket.socket, address: object) -> None:
+    def accepted(self, connection: socket.socket) -> None:
         if self.newer is not None:
             return connection.close()  # one at a time: that one is found in this one's place by now
         self.newer = Link(self, IOStream(connection))
         self.counters.add("newer_processes")
         log.event(LOGGER, logging.INFO, "newer_process")
         self.on_newer()
-        self.spawn(self.follow_newer(self.newer))
+        self.background.spawn("twin", self.follow_newer(self.newer))
 
     async def follow_newer(self, link: Link) -> None:
         await link.run()
