Free a connection that has ended at once, not when the cycle collector comes

A probe of fifty clients that connect and close left fifty sessions and a hundred tracebacks to the collector, which comes seldom by design. At fault: Session.read and Connection.read kept the future that was awaited (`coming`) beside the error that it holds; error, frames and connection then hold one another. Three tests of tests/crossings/test_no_cycles.py fail without the change; the probe leaves none.

--- a/paddlequay/net/connection.py
+++ b/paddlequay/net/connection.py
@@ -89,7 +89,11 @@
         reads = 0
         while True:
             self.coming = asyncio.ensure_future(self.stream.read_bytes(self.limits.read_chunk, partial=True))
-            data = await self.coming
+            try:
+                data = await self.coming
+            except BaseException:
+                self.coming = None  # it keeps the error, which keeps the frames that lead here
+                raise
             self.heard = self.read_at = self.pool.now()
             self.silent = False
             if not self.reader.begun:
--- a/paddlequay/net/session.py
+++ b/paddlequay/net/session.py
@@ -111,13 +111,14 @@
         else:
             self.behind = now if self.behind is None else self.behind
             if now - self.behind > READ_AHEAD:
-                if self.turned >= limits.client_turned and self.ahead > 2 * limits.client_streams:
-                    self.give_up()  # a flood hides what was taken back: nothing begins for it, nor goes on
-                else:
-                    self.make()
-        data = await coming
-        self.coming = None
-        return data
+                # A flood hides what was taken back: nothing begins for it, nor goes on.
+                flood = self.turned >= limits.client_turned and self.ahead > 2 * limits.client_streams
+                self.give_up() if flood else self.make()
+        try:
+            return await coming
+        finally:
+            self.coming = None
+            del coming  # it keeps its error, which keeps this frame: the cycle collector comes seldom
 
     def feed(self, data: bytes) -> None:
         self.used = self.front.now()
@@ -208,11 +209,8 @@
         return waited
 
     def make(self) -> None:
-        """Have the exchange take what waits here.
-
-        Who takes its answers slowly gets no further ones made, as closed on it would lose all; what is due by
-        then, or waits where connections are to go, is refused.
-        """
+        """Have the exchange take what waits here. Who takes its answers slowly gets no further ones made, as
+        closed on it would lose all; what is due by then, or waits where connections are to go, is refused."""
         front, now = self.front, self.front.now()
         for number in list(self.queue):
             if self.stream.closed():
--- /dev/null
+++ b/tests/crossings/test_no_cycles.py
@@ -0,0 +1,72 @@
+"""What has ended is freed at once: the cycle collector comes seldom, and till then it takes up memory."""
+
+import asyncio
+import gc
+from collections.abc import Callable, Coroutine, Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+import rig_caches
+import rig_clients
+
+from paddlequay.net.connection import Connection
+from paddlequay.net.session import Session
+
+COUNT = 20
+
+
+@pytest.fixture(autouse=True)
+def nothing_collected() -> Iterator[None]:
+    gc.collect()
+    gc.disable()
+    try:
+        yield
+    finally:
+        gc.enable()
+
+
+def alive(kind: type) -> int:
+    return sum(isinstance(each, kind) for each in gc.get_objects())
+
+
+def reset(rig: rig_clients.Rig) -> Callable[[], Coroutine[Any, Any, None]]:
+    async def end() -> None:
+        rig_clients.reset((await rig.client())[0])
+
+    return end
+
+
+def closed(rig: rig_clients.Rig) -> Callable[[], Coroutine[Any, Any, None]]:
+    async def end() -> None:
+        (await rig.client())[0].close()
+
+    return end
+
+
+@pytest.mark.parametrize("way", [closed, reset])
+def test_a_client_s_connection_that_has_ended_is_freed(tmp_path: Path, way: Any) -> None:
+    async def scene(rig: rig_clients.Rig) -> None:
+        end = way(rig)
+        for _ in range(COUNT):
+            await end()
+        await rig_clients.until(lambda: not rig.front.tasks, "all have ended")
+        await rig_clients.turns()
+        assert alive(Session) < COUNT / 2
+
+    rig_clients.play(tmp_path, scene)
+
+
+def test_a_connection_to_a_cache_that_has_ended_is_freed(tmp_path: Path) -> None:
+    async def scene(rig: rig_caches.Rig) -> None:
+        for number in range(COUNT):
+            rig.ask(str(number))
+            connection = await rig.asked("box", str(number))
+            connection.sendall(f"{number} HIT - 1\r\nx\r\n".encode())
+            await rig.until(lambda: len(rig.replies) > number, "answered")  # noqa: B023 (awaited here)
+            connection.close()
+            await rig.until(lambda: not rig.pool.tasks, "ended")
+        await asyncio.sleep(0)
+        assert alive(Connection) < COUNT / 2
+
+    rig_caches.play(tmp_path, scene)
