--- a/tests/tier/rig_tier.py
+++ b/tests/tier/rig_tier.py
@@ -16,12 +16,9 @@
 
 from harness import ROOT, WAIT, Party, until
 
-SECRET = b"a secret of all the nodes"
-
+from paddlequay.lab.plaza import free_port
 
-def free_port() -> int:
-    with socket.create_server(("127.0.0.1", 0)) as free:
-        return int(free.getsockname()[1])
+SECRET = b"a secret of all the nodes"
 
 
 def node(name: str, at: str, *parents: str, **also: Any) -> dict[str, Any]:
