--- a/paddlequay/ending.py
+++ b/paddlequay/ending.py
@@ -37,7 +37,7 @@
     front.replaced = twin.replaced
     while not front.close_door(last=now() - began >= limits.serve_after_term):
         await asyncio.sleep(0.01)
-    while not twin.replaced and now() - began < min(limits.serve_after_term, limits.drain_longest):
+    while not twin.replaced and now() - began < limits.serve_after_term:
         await asyncio.sleep(0.01)
     front.closing = front.giving_way = True
     while now() - began < limits.drain_longest:
