--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,111 +1,127 @@
-"""A purge reaches an aimag cache later than the router: the router's reads are answered from older copies.
+"""A process is replaced while discovery is down: the new one serves copies that were purged before.
 
-The only box of the plaza is out by hand, so that reads go straight to the aimag cache, a node of the
-project's hierarchy. The router is told of a purge at once. The node is told 5 s later; the pages allow it 6 s
-to drop older copies.
+The router is told of a purge. Then discovery goes down for 8 s and the platform replaces the process. The
+boxes drop the older copies 5.9 s after the purge, which is within the 6 s that they have.
 """
 
 import asyncio
 import signal
 import time
 from pathlib import Path
+from zlib import crc32
 
 from standins.caches import Box, Origin
-from standins.clients import Client, Outcome, read_fields
+from standins.clients import Client, read_fields
 from standins.events import EventStream, listed
-from standins.programs import call_console, router_place, run_case, start_tier, wait_until_ready
-from standins.record import HOST, CannotRunError, Record, free_port
+from standins.programs import Program, RouterPlace, router_place, run_case, wait_until_ready
+from standins.record import CannotRunError, Record
 from standins.zone import HUB, ZONE, settings
 
-TOLD_LATE_S = 5.0
-PURGE_SLACK_S = 0.3 + 0.05  # every limit is longer by 50 ms on sockets
-WAIT_S = 0.6  # after the router was told, until the purged objects are read again
-DEADLINE_S = 2.5
-OBJECTS = [f"{0x7A0000 + number:016x}" for number in range(8)]
-PARENT = "aimag-0"
-BOX = "box-0"
-
-
-def topology(origin: int, parent: int) -> dict[str, object]:
-    """Returns the topology: one aimag cache below the store."""
-    store = {"id": "store-1", "at": f"{HOST}:{origin}", "group": "stores", "store": True}
-    node = {"id": PARENT, "at": f"{HOST}:{parent}", "group": "aimag", "parents": ["store-1"]}
-    return {"version": 1, "put": [store, node]}
+OUTAGE_S = 8.0
+CLEARED_AFTER_S = 5.9
+SOCKET_SLACK_S = 0.05  # every limit is longer by this on sockets
+PURGE_SLACK_S = 0.3 + SOCKET_SLACK_S
+BINDING_AFTER_YES_S = 2.0 + SOCKET_SLACK_S
+LEAST_TIME_TO_LOOK_S = 0.2
+DEADLINE_S = 6.0
+OBJECTS = [f"{0x5A0000 + number:016x}" for number in range(12)]
+PROBED = OBJECTS[:4]  # asked of the old process, to see that it was told; the others are asked of the new one
 
 
 class Reader:
-    """A client that reads photos over one connection."""
+    """A client that reads one object after another."""
 
-    def __init__(self, record: Record) -> None:
-        self.client = Client(record, "client")
+    def __init__(self, record: Record, name: str) -> None:
+        self.client = Client(record, name)
+        self.name = name
         self.count = 0
 
-    async def read(self, row: str) -> Outcome:
-        """Reads an object."""
+    async def read(self, row: str) -> int | None:
+        """Returns how many purges of the object the copy is younger than; None if it was not served."""
         self.count += 1
-        fields = read_fields(f"{self.count:016x}", row, DEADLINE_S)
-        return await self.client.ask("plate-photo", fields, b"", DEADLINE_S + 1)
+        call = f"{crc32(self.name.encode()):08x}{self.count:08x}"
+        outcome = await self.client.ask("lane-video", read_fields(call, row, DEADLINE_S), b"", DEADLINE_S + 1)
+        return int(outcome.body.rpartition(b" v")[2]) if outcome.kind == "served" else None
+
+
+async def see_that_it_was_told(reader: Reader) -> None:
+    """Waits until the old process no longer serves a purged copy; each read is of an object of its own."""
+    for row in PROBED:
+        await asyncio.sleep(0.03)
+        if await reader.read(row) == 1:
+            return
+    raise CannotRunError("the old process was not told of the purge")
 
 
-async def count_stale(reader: Reader, record: Record, told_at: float) -> int:
-    """Reads each purged object once the purge binds; returns how many answers were older than the purge."""
-    await asyncio.sleep(max(0.0, told_at + WAIT_S - time.time()))
+async def replace_process(place: RouterPlace, old: Program) -> tuple[Program, float]:
+    """Starts the new process, and ends the old one at the new one's yes; returns it and when the yes came."""
+    new, console = await place.start("new")
+    await wait_until_ready(console)
+    yes_at = time.time()
+    place.record.line("platform", "the new process says yes")
+    old.send(signal.SIGTERM)
+    return new, yes_at
+
+
+async def count_stale(reader: Reader, record: Record, binding_from: float, until: float) -> int:
+    """Reads the purged objects; returns how many reads sent after the purge binds got an older copy."""
     stale = 0
-    for row in OBJECTS:
-        outcome = await reader.read(row)
-        after_s = outcome.sent_at - told_at
-        if outcome.kind == "served" and outcome.body.endswith(b" v0") and after_s > PURGE_SLACK_S:
-            stale += 1
-            record.line(
-                "check",
-                f"{row}: a copy from before the purge, read {after_s:.2f} s after the router was told",
-            )
+    await asyncio.sleep(max(0.0, binding_from - time.time()))
+    while time.time() < until:
+        for row in OBJECTS[len(PROBED) :]:
+            if await reader.read(row) == 0:
+                stale += 1
+                record.line("check", f"{row}: a copy from before the purge, read after the purge binds")
+        await asyncio.sleep(0.02)
     return stale
 
 
 async def case(folder: Path, record: Record, trouble: bool) -> bool:
-    """Returns whether no read that the router sent after the purge bound was answered from an older copy."""
-    origin, discovery, feed = Origin(record), EventStream(record, "bulletin"), EventStream(record, "feed")
-    port = free_port()
-    box = Box(record, BOX, {"store-1": origin.port, PARENT: port})
-    for server in (origin, discovery, feed, box):
+    """Returns whether no copy from before the purge was served once the purge bound."""
+    origin = Origin(record)
+    boxes = [Box(record, f"box-{number}", {"store-1": origin.port}) for number in range(3)]
+    discovery = EventStream(record, "bulletin")
+    for server in (origin, *boxes, discovery):
         await server.start()
-    feed.publish(shape=topology(origin.port, port))
-    tier = await start_tier(record, folder, PARENT, port, feed)
-    entries = [listed("store-1", origin.port, "origin", HUB), listed(PARENT, port, "parent", HUB)]
-    entries.append(listed(BOX, box.port, "small-box", ZONE))
+    entries = [listed("store-1", origin.port, "origin", HUB)]
+    entries += [listed(box.name, box.port, "small-box", ZONE) for box in boxes]
     discovery.publish(roster={"generation": 1, "reset": False, "instances": entries})
-    deployment = settings()
-    deployment["extra"]["staleFor"] = [
-        0.0,
-        30.0,
-        0.0,
-    ]  # as at the second deployment, and in deploy/tier.txtpb
-    place = router_place(record, folder, discovery, deployment)
-    router, console = await place.start("router")
-    programs = [router, tier.program]
+    place = router_place(record, folder, discovery, settings())
+    old, console = await place.start("old")
+    programs = [old]
     try:
         await wait_until_ready(console)
-        if await call_console(console, f"/-/caches/{BOX}/disable", "POST") != 200:
-            raise CannotRunError("the box could not be taken out")
-        reader = Reader(record)
-        await reader.client.connect(place.port)
+        first = Reader(record, "client-1")
+        await first.client.connect(place.port)
         for _ in range(3):
             for row in OBJECTS:
-                if (await reader.read(row)).kind != "served":
-                    raise CannotRunError("an object was not served before the purge")
-        recalls = [{"item": row, "issued": origin.purge(row)} for row in OBJECTS]
-        for recall in recalls:
-            discovery.publish(recall=recall)
-            if not trouble:
-                feed.publish(recall=recall)
+                await first.read(row)
+        purged_at = time.time()
+        for row in OBJECTS:
+            issued_ms = origin.purge(row)
+            discovery.publish(recall={"item": row, "issued": issued_ms})
+            for box in boxes:
+                box.cleared_after_s = CLEARED_AFTER_S
+                box.purge(row, issued_ms)
+        await see_that_it_was_told(first)
         told_at = time.time()
-        stale = await count_stale(reader, record, told_at)
         if trouble:
-            await asyncio.sleep(max(0.0, told_at + TOLD_LATE_S - time.time()))
-            for recall in recalls:
-                feed.publish(recall=recall)
-        record.line("check", f"{stale} of {len(OBJECTS)} objects came from before the purge")
+            record.line("platform", "discovery is down")
+            discovery.stop()
+        new, yes_at = await replace_process(place, old)
+        programs.append(new)
+        binding_from = max(told_at + PURGE_SLACK_S, yes_at + BINDING_AFTER_YES_S)
+        until = purged_at + CLEARED_AFTER_S - SOCKET_SLACK_S
+        if until - binding_from < LEAST_TIME_TO_LOOK_S:
+            raise CannotRunError("the new process was ready too late to see anything")
+        second = Reader(record, "client-2")
+        await second.client.connect(place.port)
+        stale = await count_stale(second, record, binding_from, until)
+        await asyncio.sleep(max(0.0, told_at + OUTAGE_S - time.time()))
+        if trouble:
+            record.line("platform", "discovery is back")
+            await discovery.start()
+        record.line("check", f"{stale} reads got a copy from before the purge, of {second.count}")
         for program in programs:
             program.send(signal.SIGTERM)
             await program.wait(6)
--- a/review/standins/caches.py
+++ b/review/standins/caches.py
@@ -36,6 +36,7 @@
         self.port = free_port()
         self.server: asyncio.Server | None = None
         self.writers: set[asyncio.StreamWriter] = set()
+        self.answered: set[str] = set()  # ids of requests
 
     async def start(self) -> None:
         """Listens from now on."""
@@ -80,6 +81,7 @@
         reply = await self.answer(ask)
         fields = ",".join(f"{name}={value}" for name, value in reply.fields.items()) or "-"
         self.record.line(self.name, f"{ask.id} {reply.word} {fields}")
+        self.answered.add(ask.id)
         if not writer.is_closing():
             writer.write(
                 f"{ask.id} {reply.word} {fields} {len(reply.body)}\r\n".encode() + reply.body + b"\r\n"
