--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,6 +1,6 @@
 """Some clients read slowly: the router closes their connections with requests on them that were read and run.
 
-24 clients ask for a large part 7 times a second, at most 24 open at a time, and read 1 MB a second: 24 parts
+16 clients ask for a large part 7 times a second, at most 24 open at a time, and read 1 MB a second: 24 parts
 in 5.8 s, of the 6 s that they wait. 30 others read a photo at a time. Caches answer all within 20 ms.
 """
 
@@ -22,11 +22,11 @@
 from standins.record import HOST, CannotRunError, Record
 from standins.zone import HUB, ZONE, settings
 
-MEMORY_MB = 96  # the pages: 32 to 192 MB
+MEMORY_MB = 64  # the pages: 32 to 192 MB
 DESCRIPTORS = 672  # the pages: 256 to 1,024
 PART_BYTES = 240_000  # the pages: at most 240,000
 OPEN_REQUESTS = 24  # the pages: up to 32 on one connection
-SLOW_CLIENTS = 24
+SLOW_CLIENTS = 16
 OTHER_CLIENTS = 30
 SLOW_BYTES_PER_S = 1_000_000  # the pages: at most 1 MB a second is read by some clients
 RECEIVE_BUFFER = 64 * 1024  # of a slow client's socket
