Count by which limit the connection of a slow reader was closed

The counter slow_readers is the same for three limits: the unsent bytes of one client, those of all clients, and the stall time-out, so the log could not tell which one closes them.

--- a/paddlequay/net/clients/answer_writer.py
+++ b/paddlequay/net/clients/answer_writer.py
@@ -69,6 +69,7 @@
             self.last_written_at = self.front.now()
         if self.unsent_bytes + size > self.front.limits.max_client_unsent:
             self.front.counters.add("slow_readers")
+            self.front.counters.add("slow_readers.client_limit")
             self.stream.close()
             return
         if self.front.unsent_bytes + size > self.front.max_unsent:
@@ -95,6 +96,7 @@
     def close_slowest(self) -> "AnswerWriter":
         """Closes the connection with the most unsent bytes, and returns its writer."""
         self.front.counters.add("slow_readers")
+        self.front.counters.add("slow_readers.total_limit")
         slowest = max(self.front.writers, key=lambda writer: writer.unsent_bytes)
         slowest.stream.close()
         return slowest
