Answer every request of a slow reader in place of closing its connection

Cause: where the unsent bytes of all connections reached a quarter of the memory, AnswerWriter closed the connection with the most of them, with every request that was open on it. A client's calls were held back by its own unsent bytes only, half an eighth of the memory, so nothing slowed down as the sum grew.

Change: no connection is closed for the memory of answers. An answer that does not fit is replaced by a rejection, or by an error for a class that is not idempotent, which always fits. A connection may hold half of the unsent bytes that others leave (a dynamic threshold), and calls of a slow reader are submitted only while their answers would fit. So the limits hold, each request has its answer, and little work is done in vain. A client with more answers unread than it may have requests open is still closed, at 32 KB of rejections and errors beyond the limits.

--- a/paddlequay/net/clients/answer_writer.py
+++ b/paddlequay/net/clients/answer_writer.py
@@ -2,7 +2,7 @@
 
 import contextlib
 import socket
-from collections.abc import Callable, Collection
+from collections.abc import Callable
 from typing import Protocol
 
 from tornado.iostream import IOStream, StreamClosedError
@@ -12,6 +12,9 @@
 from paddlequay.requests.messages import Buffer
 
 MAX_JOINED_BYTES = 16 * 1024  # up to this size, an answer is copied into one write: cheaper than more packets
+# Rejections and errors are written even if the limits on unsent bytes are reached, up to this many bytes for
+# each connection. The protocol's 32 open requests, answered with a rejection each, need less than a tenth.
+MAX_EXCESS_BYTES = 32 * 1024
 
 
 class WriterFront(Protocol):
@@ -30,84 +33,99 @@
         """Returns the limit on `unsent_bytes` of all connections."""
         ...
 
-    @property
-    def writers(self) -> Collection["AnswerWriter"]:
-        """Returns the writers of all connections."""
-        ...
-
 
 class AnswerWriter:
     """Writes answers to one connection.
 
+    Before it writes a served answer, a caller checks `has_capacity`, and sends a rejection if there is none.
+    So a client that reads slowly gets an answer to each request, and its unsent answers have a limit.
+
     Attributes:
         unsent_bytes: Bytes of answers that the kernel has not accepted yet.
+        excess_bytes: The part of `unsent_bytes` that was written beyond the limits.
         last_written_at: When the kernel last accepted an answer completely, or when the first of the unsent
             answers was written, in monotonic seconds.
     """
 
-    __slots__ = ("front", "last_written_at", "stream", "unsent_bytes")
+    __slots__ = ("excess_bytes", "front", "last_written_at", "stream", "unsent_bytes")
 
     def __init__(self, front: WriterFront, stream: IOStream) -> None:
         self.front = front
         self.stream = stream
         self.unsent_bytes = 0
+        self.excess_bytes = 0
         self.last_written_at = front.now()
 
+    @property
+    def max_unsent(self) -> float:
+        """Returns the limit on the unsent bytes of this connection.
+
+        A connection may hold half of the bytes that the other ones leave (a dynamic threshold, as switches
+        use it for a shared buffer). So however many clients read slowly, some bytes stay free for others.
+        """
+        left_by_others = self.front.max_unsent - self.front.unsent_bytes + self.unsent_bytes
+        return min(self.front.limits.max_client_unsent, left_by_others / 2)
+
+    def has_capacity(self, size: int) -> bool:
+        """Returns whether an answer of `size` bytes can be written within the limits on unsent bytes.
+
+        A connection without unsent bytes may use all that is free, as its client may read at once.
+        """
+        return self._fits(size) and (not self.unsent_bytes or self.unsent_bytes + size <= self.max_unsent)
+
     def write(self, pieces: tuple[Buffer, ...], on_written: Callable[[], None]) -> None:
         """Writes an answer without waiting for the client to read it.
 
-        Closes this connection if too many of its bytes are unsent, or the one with the most unsent bytes if
-        too many bytes of all connections are.
+        Closes the connection if more than `MAX_EXCESS_BYTES` would be unsent beyond the limits: its client
+        has left more answers unread than it may have requests open.
 
         Args:
             pieces: The answer.
             on_written: Called once the kernel has accepted the whole answer. The writer does not store it:
                 it refers to the session, and a connection in a reference cycle is freed late.
         """
+        if self.stream.closed():
+            return
         size = sum(map(len, pieces))
-        if not self.unsent_bytes:
-            self.last_written_at = self.front.now()
-        if self.unsent_bytes + size > self.front.limits.max_client_unsent:
+        excess = 0 if self._fits(size) else size
+        if self.excess_bytes + excess > MAX_EXCESS_BYTES:
             self.front.counters.add("slow_readers")
-            self.front.counters.add("slow_readers.client_limit")
+            self.front.counters.add("slow_readers.excess")
             self.stream.close()
             return
-        if self.front.unsent_bytes + size > self.front.max_unsent:
-            slowest = self.close_slowest()
-            if slowest is self:
-                return
-        self.unsent_bytes += size
-        self.front.unsent_bytes += size
+        if not self.unsent_bytes:
+            self.last_written_at = self.front.now()
+        self._add_unsent(size, excess)
         if size <= MAX_JOINED_BYTES:
             pieces = (b"".join(pieces),)
         try:
             for piece in pieces:
                 write_future = self.stream.write(memoryview(piece))
         except StreamClosedError:
-            self.front.unsent_bytes -= size
-            self.unsent_bytes -= size
+            self._add_unsent(-size, -excess)
             return
         self.front.counters.add("answer_bytes", size)
         if write_future.done():  # the usual case
-            self.note_written(size, on_written)
+            self.note_written(size, excess, on_written)
         else:
-            write_future.add_done_callback(lambda _: self.note_written(size, on_written))
-
-    def close_slowest(self) -> "AnswerWriter":
-        """Closes the connection with the most unsent bytes, and returns its writer."""
-        self.front.counters.add("slow_readers")
-        self.front.counters.add("slow_readers.total_limit")
-        slowest = max(self.front.writers, key=lambda writer: writer.unsent_bytes)
-        slowest.stream.close()
-        return slowest
-
-    def note_written(self, size: int, on_written: Callable[[], None]) -> None:
-        """Records that the kernel has accepted an answer of `size` bytes."""
-        self.unsent_bytes -= size
-        self.front.unsent_bytes -= size
+            write_future.add_done_callback(lambda _: self.note_written(size, excess, on_written))
+
+    def note_written(self, size: int, excess: int, on_written: Callable[[], None]) -> None:
+        """Records that the kernel has accepted an answer of `size` bytes, `excess` of them over the limits."""
+        self._add_unsent(-size, -excess)
         self.last_written_at = self.front.now()
         on_written()
 
+    def _fits(self, size: int) -> bool:
+        """Returns whether `size` more bytes are within the limits of one client and of all clients."""
+        fits_client = self.unsent_bytes + size <= self.front.limits.max_client_unsent
+        return fits_client and self.front.unsent_bytes + size <= self.front.max_unsent
+
+    def _add_unsent(self, size: int, excess: int) -> None:
+        self.unsent_bytes += size
+        self.excess_bytes += excess
+        self.front.unsent_bytes += size
+
     def shut_down(self) -> None:
         """Closes the sending side of the connection if all answers are sent."""
         if not self.unsent_bytes and not self.stream.closed():
--- a/paddlequay/net/clients/client_front.py
+++ b/paddlequay/net/clients/client_front.py
@@ -8,7 +8,6 @@
 from paddlequay.config.limits import Limits
 from paddlequay.lifecycle.operator_state import DRAIN, OperatorState
 from paddlequay.lifecycle.overload import OverloadGuard
-from paddlequay.net.clients.answer_writer import AnswerWriter
 from paddlequay.net.clients.idle_sessions import IdleSessions
 from paddlequay.net.clients.session import ClientSession
 from paddlequay.net.clients.session_reader import SessionReader
@@ -90,11 +89,6 @@
         """Returns the limit on `unsent_bytes`."""
         return self.limits.max_unsent * self.quotas.memory_share
 
-    @property
-    def writers(self) -> list[AnswerWriter]:
-        """Returns the writers of all connections."""
-        return [session.writer for session in self.sessions]
-
     @property
     def max_queued(self) -> float:
         """Returns the limit on `queued_bytes`; the exchange itself limits the bodies of pending requests."""
--- a/paddlequay/net/clients/session.py
+++ b/paddlequay/net/clients/session.py
@@ -19,7 +19,8 @@
 from paddlequay.routing.interface import Idempotency
 
 MIN_TIME_TO_LIVE_S = 0.001
-BACKPRESSURE_RATIO = 0.5  # calls of a client wait while more than this part of `max_client_unsent` is unsent
+BACKPRESSURE_RATIO = 0.5  # calls of a client wait while more than this part of its limit is unsent
+MAX_ANSWER_HEAD = 64  # bytes of a served answer around its body, at most
 LINGER_S = 0.3  # after this side has ended a connection, it reads on for at most this long
 
 
@@ -31,7 +32,8 @@
         idle_queue: The queue of `IdleSessions` that contains this session; None while an answer is
             pending or unsent.
         consecutive_rejections: The number of rejections and errors since the last served answer.
-        is_backpressured: Whether calls wait because the client does not read its answers.
+        is_backpressured: Whether calls wait, or some of them waited, because the client reads its answers
+            slowly; until no call waits.
         ended: Whether this side has ended the connection: nothing more is written and no message handled.
     """
 
@@ -136,33 +138,49 @@
     def submit_waiting(self) -> None:
         """Submits the waiting calls to the exchange, unless the client does not read its answers.
 
-        No further answers are produced for a slow reader, because all of them would be lost if its
-        connection closed. Its calls are rejected when their deadline is near or the connection is about to
-        close.
+        No further answers are produced for a slow reader, because there may be no memory for them. Its calls
+        are rejected when their deadline is near or the connection is about to close.
         """
         now = self.front.now()
         for number in list(self.waiting_calls):
             if self.stream.closed():
                 return
             self.submit_or_reject(number, now)
+        if not self.waiting_calls:
+            self.is_backpressured = False
 
     def submit_or_reject(self, number: int, now: float) -> None:
         """Submits or rejects a waiting call, or lets it wait until the client has read more answers."""
         front = self.front
-        self.is_backpressured = self.writer.unsent_bytes > BACKPRESSURE_RATIO * front.limits.max_client_unsent
+        must_wait = self.must_wait()
+        self.is_backpressured = self.is_backpressured or must_wait
         call = self.waiting_calls[number]
         time_left = call.request.time_to_live - (now - call.read_at)
-        if front.rejects_new_calls or (self.is_backpressured and front.closing_when_quiet):
+        if front.rejects_new_calls or (must_wait and front.closing_when_quiet):
             self.reject_waiting(number, "emptying")
-        elif not self.is_backpressured:
+        elif not must_wait:
             self.waiting_calls.remove(number)
             call.request.time_to_live = max(MIN_TIME_TO_LIVE_S, time_left)
-            send_answer = partial(self.answer, number)
+            send_answer = partial(self.answer_request, number, call.request.class_name)
             is_disconnected = partial(self.input.is_disconnected, number)
             self.open_requests.submit(number, call.request, send_answer, is_disconnected)
         elif time_left <= front.limits.answer_margin + front.limits.sweep_interval:
             self.reject_waiting(number, "not_taken")
 
+    def must_wait(self) -> bool:
+        """Returns whether calls must wait until the client has read more answers.
+
+        The answers of open requests are still to come. While the client reads slowly, each of them is counted
+        as one of the largest objects; a client without any unsent or expected answer may always go on.
+        """
+        unsent = self.writer.unsent_bytes
+        if not unsent and not self.is_backpressured:
+            return False
+        max_unsent = self.writer.max_unsent
+        largest = self.front.limits.max_object_size
+        expected = (len(self.open_requests) + 1) * largest
+        return unsent > BACKPRESSURE_RATIO * max_unsent or unsent + expected > max(max_unsent, largest)
+
     def abandon_all(self) -> None:
         """Rejects the waiting calls and abandons the open requests, so that all answers are sent now."""
         for number in list(self.waiting_calls):
@@ -180,6 +198,19 @@
         self.consecutive_rejections += 1
         self.send(wire.error_answer(number, wire.FAILED, {"why": reason}))
 
+    def answer_request(self, number: int, class_name: str, answer: FinalAnswer) -> None:
+        """Sends the final answer of the exchange to a call, without its body if there is no memory for it.
+
+        A rejection promises that the request had no effect, so one that is not idempotent fails instead.
+        """
+        size = len(answer.body) + MAX_ANSWER_HEAD
+        if answer.status is AnswerStatus.SERVED and not self.writer.has_capacity(size):
+            self.front.counters.add("unread_answers")
+            request_class = self.front.exchange.router.classes[class_name]
+            is_idempotent = request_class.idempotency is Idempotency.IDEMPOTENT
+            answer = self.front.draining_answer if is_idempotent else FinalAnswer(AnswerStatus.FAILED)
+        self.answer(number, answer)
+
     def answer(self, number: int, answer: FinalAnswer) -> None:
         """Sends the final answer to a call."""
         self.open_requests.remove(number)
@@ -197,11 +228,9 @@
         if self.ended:
             self.writer.shut_down()
             return
-        unsent = self.writer.unsent_bytes
-        if self.is_backpressured and unsent <= BACKPRESSURE_RATIO * self.front.limits.max_client_unsent:
-            self.is_backpressured = False
+        if self.is_backpressured and not self.must_wait():
             asyncio.get_running_loop().call_soon(self.submit_waiting)
-        if not unsent and not self.has_open_requests:
+        if not self.writer.unsent_bytes and not self.has_open_requests:
             self.update_idle_queue()
         if self.front.closing_when_quiet:
             self.close_if_quiet()
