Close no slow reader while one of its requests is still waited for

What callers would see: with a deadline over 10 s, the connection of a client that reads nothing for 10 s closes with requests on it that have time left.

Cause: the stall time-out was 10 s whatever the settings say. Change: it is at least the longest time that a request may live, and the half second after it in which an answer is still due.

Test: test_a_client_that_reads_nothing_is_not_closed_while_a_request_is_waited_for failed before with deadlines of 12 s.

--- a/paddlequay/config/limits.py
+++ b/paddlequay/config/limits.py
@@ -16,6 +16,7 @@
 KILL_MARGIN_S = 0.2  # between abandoning the requests and SIGKILL
 MAX_SERVE_AFTER_TERM_S = 0.75  # requests on open connections keep arriving for this long after SIGTERM
 MAX_ACCEPT_AFTER_TERM_S = 0.5  # new connections keep arriving for this long after SIGTERM
+MAX_ANSWER_DELAY_S = 0.5  # a final answer is due this long after its deadline at the latest
 SERVE_MARGIN_S = 0.05  # between reading the last request and abandoning those that are pending
 
 
@@ -179,6 +180,10 @@
         ),
         max_reuse_idle=min(defaults.max_reuse_idle, keepalive_s / 4),
         # In proportion to the latency objectives, as larger objects take longer.
+        # A slow reader is closed only once it waits for none of its unsent answers any more.
+        client_stall_timeout=max(
+            defaults.client_stall_timeout, defaults.max_time_to_live * longest_deadline + MAX_ANSWER_DELAY_S
+        ),
         silence_check_after=1.1 * mean_objective_s,
         assumed_latency=0.5 * mean_objective_s,
         max_attempts=int(positive(platform, "settings.limits.attemptsCap", 6, lowest=1)),
--- a/paddlequay/net/clients/answer_writer.py
+++ b/paddlequay/net/clients/answer_writer.py
@@ -111,7 +111,7 @@
             write_future.add_done_callback(lambda _: self.note_written(size, excess, on_written))
 
     def note_written(self, size: int, excess: int, on_written: Callable[[], None]) -> None:
-        """Records that the kernel has accepted an answer of `size` bytes, `excess` of them over the limits."""
+        """Records that the kernel has accepted an answer, `excess` bytes of which were over the limits."""
         self._add_unsent(-size, -excess)
         self.last_written_at = self.front.now()
         on_written()
--- a/tests/race_conditions/test_derived_limits.py
+++ b/tests/race_conditions/test_derived_limits.py
@@ -77,6 +77,16 @@
     assert limits(dialTimeout=dial).connect_timeout == waits
 
 
+@pytest.mark.parametrize(("deadline", "at_least"), [(3.0, 10.0), (12.0, 18.5)])
+def test_a_client_that_reads_nothing_is_not_closed_while_a_request_is_waited_for(
+    deadline: float, at_least: float
+) -> None:
+    # Guards against: requests lost with a connection closed for stalling before their deadline.
+    classes = [each | {"deadline": deadline} for each in SETTINGS["classes"]]
+    made = limits_from({"settings": {}}, parse_settings(SETTINGS | {"classes": classes}))
+    assert made.client_stall_timeout == at_least
+
+
 def test_the_programs_own_descriptors_match_their_reserve() -> None:
     with platform() as p:
         p.ready()
