Keep a connection that has ended until its unsent answers are sent

What callers would see: a connection that this side has ended (bytes that cannot be read, the end of a drain) loses its last answers when a new connection needs its descriptor within 0.3 s.

Cause: close_lingering closed the connection whatever was unsent. Change: it refuses while answers are unsent; the next candidate is tried, and LINGER_S still bounds the wait.

Test: test_a_connection_that_has_ended_is_not_closed_for_others_with_answers_unsent failed before (the stream was closed).

--- a/paddlequay/net/clients/session.py
+++ b/paddlequay/net/clients/session.py
@@ -262,7 +262,9 @@
         return True
 
     def close_lingering(self) -> bool:
-        """Closes a lingering connection before `LINGER_S` is over."""
+        """Closes a lingering connection before `LINGER_S` is over, unless answers are unsent."""
+        if self.writer.unsent_bytes:
+            return False
         self.stream.close()
         return True
 
--- a/tests/race_conditions/test_slow_readers.py
+++ b/tests/race_conditions/test_slow_readers.py
@@ -122,3 +122,17 @@
         client.close()
 
     play(tmp_path, scene, **LIMITS)
+
+
+def test_a_connection_that_has_ended_is_not_closed_for_others_with_answers_unsent(tmp_path: Path) -> None:
+    # Guards against: answers lost because a new connection needed the descriptor of one that lingers.
+    async def scene(rig: Rig) -> None:
+        client, session = await slow_reader(rig, range(1, 4))
+        serve_all(rig)
+        session.end()
+        assert session.writer.unsent_bytes and session in rig.front.idle_sessions.lingering
+        rig.front.on_accept(rig.connect()[1])
+        assert not session.stream.closed() and rig.counters.counts["rejected_connections"] == 1
+        assert set(outcomes(await answers(client, 3)).values()) == {"served"}
+
+    play(tmp_path, scene, client_connections=1, **LIMITS)
