Answer every request of a slow requester of the tier in place of closing it

What callers would see: a router, cache or node that leaves 12 MB unread loses all requests on its connection to a tier's node.

Cause: TierSession.write closed the connection at its limit on unsent bytes. A session could also be closed with unsent answers to accept another one, and with requests open by the stall time-out inside a message. Change: a copy that does not fit is answered SHED with NO_FILL, which always fits; a session is closed for more answers unread than it may have requests open (1 MB beyond the limit). Only sessions without requests and unsent answers make room for others; the stall time-out waits until no request is open. The unsent bytes now count the lines of answers too, not their bodies alone.

Test: test_a_requester_that_reads_slowly_gets_an_answer_to_each_request failed before (the connection ended). The changes to making room and to the stall time-out were read, and have no test of their own.

--- a/paddlequay/net/hierarchy/tier_front.py
+++ b/paddlequay/net/hierarchy/tier_front.py
@@ -85,16 +85,17 @@
         self.acceptor = Acceptor(listener, self._on_accept, lambda: self.limits.accepts_per_iteration)
 
     def sweep(self) -> None:
-        """Closes sessions that stalled inside a message or are idle for long, and idle ones when draining."""
+        """Closes sessions without requests: stalled inside a message, idle for long, or while draining."""
         now = self.monotonic()
         for session in list(self.sessions):
             quiet_s = now - session.last_read_at
             is_idle = not session.requests
-            has_stalled = session.parser.is_inside_message and quiet_s > self.limits.client_stall_timeout
+            is_inside_message = session.parser.is_inside_message
+            has_stalled = is_idle and is_inside_message and quiet_s > self.limits.client_stall_timeout
             if has_stalled or (is_idle and quiet_s > 2 * self.limits.cache_idle_timeout):
                 self.counters.add("stalled_askers" if has_stalled else "closed_idle_askers")
                 session.close()
-            elif self._is_draining and is_idle and not session.unsent_bytes:
+            elif self._is_draining and session.is_at_rest:
                 session.close()
 
     def on_session_closed(self, session: TierSession) -> None:
@@ -158,7 +159,7 @@
     def _on_accept(self, connection: socket.socket) -> None:
         """Starts a session; at the limit closes an idle one for it, or the new connection if none is idle."""
         if len(self.sessions) >= self.limits.client_connections:
-            idle_session = next((session for session in self.sessions if not session.requests), None)
+            idle_session = next((session for session in self.sessions if session.is_at_rest), None)
             if idle_session is None:
                 self.counters.add("turned_away")
                 connection.close()
@@ -174,9 +175,18 @@
         requester = reply.request.requester
         if not isinstance(requester, TierRequester):
             return
-        requester.session.requests.pop(requester.id, None)
+        session = requester.session
+        session.requests.pop(requester.id, None)
         self.load_meter.record_reply(reply.reason is ReplyReason.CACHED)
-        copy = reply.copy
-        body: Buffer = copy.body if copy is not None and reply.status is ReplyStatus.HIT else b""
+        body = reply_body(reply)
+        if body and not session.has_capacity(len(body)):
+            self.counters.add("unread_answers")
+            reply = Reply(reply.request, ReplyStatus.REJECTED, ReplyReason.FILL_REJECTED)
+            body = b""
         fields = reply_fields(reply, self.load_report())
-        requester.session.write(requester.id, reply.status.value, fields, body)
+        session.write(requester.id, reply.status.value, fields, body)
+
+
+def reply_body(reply: Reply) -> Buffer:
+    """Returns the body of a reply; empty for all but a served copy."""
+    return reply.copy.body if reply.copy is not None and reply.status is ReplyStatus.HIT else b""
--- a/paddlequay/net/hierarchy/tier_session.py
+++ b/paddlequay/net/hierarchy/tier_session.py
@@ -26,6 +26,9 @@
 LOGGER = logging.getLogger(__name__)
 
 MAX_OPEN_REQUESTS = 4096  # on one connection, as routers and caches send all requests over few connections
+# Answers without a body are written even if the limit on unsent bytes is reached, up to this many bytes:
+# 256 bytes for each request that may be open.
+MAX_EXCESS_BYTES = 256 * MAX_OPEN_REQUESTS
 BAD_LINE_EVENT = "bad_asker_line"
 BAD_PATH_EVENT = "bad_trail"
 BAD_FIELD_EVENT = "bad_field"
@@ -103,18 +106,31 @@
             self.front.cancel(request)
         self.requests.clear()
 
+    @property
+    def is_at_rest(self) -> bool:
+        """Returns whether no request is open and no answer is unsent."""
+        return not self.requests and not self.unsent_bytes
+
+    def has_capacity(self, body_size: int) -> bool:
+        """Returns whether a body can be written within the limit on unsent bytes."""
+        return self.unsent_bytes + body_size <= self.limits.max_client_unsent
+
     def write(self, id: str, status: str, fields: Mapping[str, str], body: Buffer = b"") -> None:
-        """Writes an answer; closes the connection if the peer reads so slowly that too much is unsent."""
+        """Writes an answer; before it writes a body, the caller checks `has_capacity`.
+
+        Closes the connection if the peer has left more answers unread than it may have requests open.
+        """
         if self.stream.closed():
             return
-        size = len(body)
-        if self.unsent_bytes + size > self.limits.max_client_unsent:
+        answer = b"".join(encode_answer(id, status, fields, body))
+        size = len(answer)
+        if not self.has_capacity(size - MAX_EXCESS_BYTES):
             self.front.counters.add("slow_readers")
             self.stream.close()
             return
         self.unsent_bytes += size
         try:
-            written = self.stream.write(b"".join(encode_answer(id, status, fields, body)))
+            written = self.stream.write(answer)
         except StreamClosedError:
             return
         written.add_done_callback(lambda future: self._on_written(size, future))
--- a/tests/hierarchy/test_tier.py
+++ b/tests/hierarchy/test_tier.py
@@ -36,6 +36,26 @@
     assert client.read_answer()[3] == b"new" and ready.origin.lines.empty()
 
 
+def test_a_requester_that_reads_slowly_gets_an_answer_to_each_request(ready: Rig) -> None:
+    # Guards against: requests lost with the connection once a requester left too many bytes unread.
+    client = ready.connect()
+    client.send_request("first")
+    stamp = f"tag=t,minted={round(time.time() * 1000)}"
+    ready.origin.answer("HIT", stamp, bytes(240_000))
+    assert client.read_answer()[1] == "HIT"
+    for number in range(150):  # 36 MB, of which the kernel takes some and 12 MB may wait unsent
+        client.send_request(f"q{number}")
+
+    def limit_reached() -> bool:
+        ready.processes["a"].send_signal(signal.SIGUSR1)
+        return any("unread_answers=" in line or "slow_readers=" in line for line in list(ready.log))
+
+    until(limit_reached, "answers reach the limit")
+    answers = [client.read_answer() for _ in range(150)]
+    assert {each[0] for each in answers} == {f"q{number}" for number in range(150)}
+    assert {(each[1], len(each[3])) for each in answers} == {("HIT", 240_000), ("SHED", 0)}
+
+
 def test_requests_for_cached_copies_only_are_answered_at_once_without_a_fill(ready: Rig) -> None:
     client = ready.connect()
     client.send_request("q1", via="")
