Log with which events a process begins to serve

Its log could not tell a process that was never told of the purges from one that was told and did not keep to them.

Change: the event serving has the number of the last event applied, and whether the endpoint watch has delivered all events.

--- a/paddlequay/programs/handover.py
+++ b/paddlequay/programs/handover.py
@@ -72,7 +72,15 @@
             listeners.steer_to_newest(listener)
             self.hot_restart.announce_ready()
         elapsed_s = time.monotonic() - started_at
-        log.event(LOGGER, logging.INFO, "serving", beside_predecessor=beside_predecessor, after=elapsed_s)
+        log.event(
+            LOGGER,
+            logging.INFO,
+            "serving",
+            beside_predecessor=beside_predecessor,
+            after=elapsed_s,
+            last_event=self.endpoint_watch.last_number,
+            current=self.endpoint_watch.is_current.is_set(),
+        )
 
     async def warm_up(self) -> None:
         """Opens a connection to each edge cache, and waits for the complete endpoint list."""
