Hand endpoints and purges over to a successor, also while discovery is down

It also sent requests to caches that only the old process knew to be draining, and none to those added since the old one's start.

Cause: the new process starts with the known events of the old one's start. What came later it learned from the endpoint watch only, for which it waits 2.5 s and then serves all the same; the link between the two carried neither endpoints nor purges.

Change: the predecessor sends its endpoints, purges and the number of its last event, and each process the events that it receives (net/endpoints/event_handover.py). Numbers are taken over only where both started with the same known events; else the purges alone. A source that counts otherwise is noticed by its heartbeats, and asked for this process's own events again. A successor that learns the purges from nobody accepts no copy from before it serves, until discovery is back. Why it works: what one process was told, the other has before it serves, or does not rely on.

The digest of the known events is a further key of the first message; a process of an earlier version ignores it, sends none, and gets none of the new messages.

--- a/paddlequay/net/endpoints/endpoint_watch.py
+++ b/paddlequay/net/endpoints/endpoint_watch.py
@@ -1,7 +1,7 @@
 """Watches the event stream of endpoint lists and purges, and applies the events in order."""
 
 import logging
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from dataclasses import replace
 from typing import Any
 
@@ -26,15 +26,22 @@
 LOGGER = logging.getLogger(__name__)
 
 MAX_QUOTED_CHARS = 40  # of an invalid value that an error quotes
+# One heartbeat may be late on its way; after this many, the source counts by other numbers.
+MAX_LOW_HEARTBEATS = 3
 
 
 class EndpointWatch(WatchClient[EndpointList | PurgeEvent]):
     """Updates the exchange and the pool from the endpoint list.
 
     Attributes:
+        endpoints: The endpoints as the list has them, by id.
+        on_new_event: Called with each event that was received from the source and applied.
         on_endpoint_list: Called with each list. Applies it directly, unless `MemberSources` sets it to report
             the list to the membership.
         on_heartbeat: Called at each heartbeat at which all published events are applied.
+        own_number: The number of the last event before the predecessor's events were inherited; None if they
+            were not.
+        low_heartbeats: The number of consecutive heartbeats below the inherited number.
     """
 
     gapless = True
@@ -45,8 +52,12 @@
         super().__init__(address, limits, counters, "endpoint_watch")
         self.exchange = exchange
         self.pool = pool
+        self.endpoints: dict[str, Endpoint] = {}
+        self.on_new_event: Callable[[EndpointList | PurgeEvent], None] = lambda event: None
         self.on_endpoint_list: Callable[[EndpointList], None] = self.apply_endpoint_list
         self.on_heartbeat: Callable[[], None] = lambda: None
+        self.own_number: int | None = None
+        self.low_heartbeats = 0
 
     def make_parser(self) -> EventParser[EndpointList | PurgeEvent | WatchHeartbeat | UnusableLine]:
         """Returns a parser for a new connection."""
@@ -64,10 +75,50 @@
                 self.last_number = event.number
         self.last_number = max(self.last_number, number)
 
+    def remembered_purges(self) -> Iterator[PurgeEvent]:
+        """Yields the latest purge of each object and group, with the number of the last event."""
+        for (scope, value), issued_at in self.exchange.write_checks.purged_at.items():
+            is_key = scope == "key"
+            yield PurgeEvent(
+                self.last_number, issued_at, value if is_key else None, None if is_key else value
+            )
+
     def heartbeat(self, number: int) -> None:
-        """Calls `on_heartbeat`, as the source is alive and all its events are applied."""
+        """Calls `on_heartbeat`, as the source is alive and all its events are applied.
+
+        Raises:
+            EndpointWatchError: The source does not know the inherited number, so the events after the last
+                one that this process itself has received must be requested.
+        """
+        self.check_inherited_number(number)
         self.on_heartbeat()
 
+    def inherit(self, number: int, endpoints: tuple[Endpoint, ...]) -> None:
+        """Applies the predecessor's endpoints, unless a later event than its last one has come already."""
+        if number <= self.last_number:
+            return
+        listed = EndpointList(number, True, endpoints)
+        if not self.try_to_apply(listed):
+            self.skip_event(listed)
+        self.own_number = self.last_number
+        self.last_number = number
+
+    def check_inherited_number(self, number: int) -> None:
+        """Returns to this process's own number if the source does not count as the predecessor did.
+
+        Raises:
+            EndpointWatchError: It has returned to its own number.
+        """
+        if self.own_number is None or number >= self.last_number:
+            self.low_heartbeats = 0
+            return
+        self.low_heartbeats += 1
+        if self.low_heartbeats < MAX_LOW_HEARTBEATS:
+            return
+        inherited, self.last_number = self.last_number, self.own_number
+        self.own_number = None
+        raise wire.EndpointWatchError(f"the source has event {number}, but {inherited} was inherited")
+
     def apply_event(self, event: EndpointList | PurgeEvent) -> None:
         """Applies a list or a purge."""
         if isinstance(event, PurgeEvent):
@@ -85,8 +136,39 @@
                 )
             self.counters.add("unusable_endpoints", event.unusable_count - 1)
         self.on_endpoint_list(event)
+        self.update_endpoints(event)
         self.counters.add("endpoint_lists")
 
+    def try_to_apply(self, event: EndpointList | PurgeEvent) -> bool:
+        """Applies an event that another process sent, and returns whether it could be applied."""
+        try:
+            self.apply_event(event)
+        except Exception as error:  # error boundary of one event: the link to that process stays open
+            self.report.failed(error)
+            return False
+        return True
+
+    def handle_new(self, event: EndpointList | PurgeEvent | UnusableLine, number: int) -> None:
+        """Handles a new event of the source. Raises `EndpointWatchError` if it must be requested again."""
+        super().handle_new(event, number)
+        if not isinstance(event, UnusableLine):
+            self.on_new_event(event)
+
+    def update_endpoints(self, item: EndpointList) -> None:
+        """Updates the endpoints from a list or its changes."""
+        drained = [
+            replace(known, member=replace(known.member, state=MemberState.DRAINING))
+            for known in map(self.endpoints.get, item.draining_ids)
+            if known is not None
+        ]
+        if item.full:
+            self.endpoints.clear()
+        for endpoint in (*item.endpoints, *drained):
+            if endpoint.member.state is MemberState.REMOVED:
+                self.endpoints.pop(endpoint.member.name, None)
+            else:
+                self.endpoints[endpoint.member.name] = endpoint
+
     def apply_endpoint_list(self, item: EndpointList) -> None:
         """Applies a list directly to the pool and the exchange, for a router without other sources.
 
@@ -99,6 +181,7 @@
     def skip_event(self, event: EndpointList | PurgeEvent) -> None:
         """Applies the valid entries of a list that failed as a whole."""
         if isinstance(event, EndpointList):
+            self.update_endpoints(event)
             listed = [*event.endpoints, *self.as_draining(event.draining_ids)]
             has_other_sources = self.on_endpoint_list != self.apply_endpoint_list
             if has_other_sources:  # then only the membership may add members
--- a/paddlequay/net/hot_restart.py
+++ b/paddlequay/net/hot_restart.py
@@ -17,6 +17,7 @@
 from paddlequay.config.limits import Limits
 from paddlequay.lifecycle.background import TaskSupervisor
 from paddlequay.lifecycle.operator_state import OperatorState, Override
+from paddlequay.net.endpoints.event_handover import EventHandover
 from paddlequay.net.listener import Acceptor
 from paddlequay.observability import log
 from paddlequay.observability.counters import Counters
@@ -76,7 +77,9 @@
         operator_state = self.owner.operator_state
         learned = self.owner.export_state() if self is self.owner.successor else {}
         known_ids = tuple(operator_state.known_ids)
-        self.send(wire.StateMessage(operator_state.overrides, known_ids, learned))
+        events = self.owner.events
+        sequence = "" if events is None else events.sequence
+        self.send(wire.StateMessage(operator_state.overrides, known_ids, learned, sequence))
         try:
             while True:
                 data = await self.stream.read_bytes(self.owner.limits.read_size, partial=True)
@@ -92,6 +95,8 @@
         finally:
             self.stream.close()
             self.state_received.set()
+            if events is not None:
+                events.close(self)
             for confirmed in self.awaiting_confirmation.values():
                 if not confirmed.done():
                     confirmed.set_result(True)
@@ -99,6 +104,7 @@
     def handle(self, message: wire.LinkMessage) -> None:
         """Handles one message from the other process."""
         operator_state = self.owner.operator_state
+        events = self.owner.events
         match message:
             case wire.StateMessage():
                 self.has_state = True
@@ -106,7 +112,13 @@
                 operator_state.apply_all(message.overrides)
                 if self is self.owner.predecessor:
                     self.owner.on_inherited_state(message.state)
+                if events is not None:
+                    events.open(self, message.event_sequence, to_successor=self is self.owner.successor)
                 self.state_received.set()
+            case wire.KnownEvents() if events is not None:
+                events.receive_known(message)
+            case wire.NewEvent() if events is not None:
+                events.receive_new(message.event)
             case wire.OverrideMessage():
                 operator_state.apply(message.name, message.override)
                 self.owner.counters.add("overrides_from_other_process")
@@ -137,6 +149,7 @@
             without a report.
         closed: Whether this process ends.
         search_done: Set once it is known whether there is a predecessor.
+        events: Exchanges endpoints and purges with the other process; None to exchange none.
         export_state: Returns the learned state for the successor.
         on_inherited_state: Receives the learned state of the predecessor.
         on_successor: Called once a successor has connected.
@@ -164,6 +177,7 @@
         self.background = TaskSupervisor(counters)
         self.closed = False
         self.search_done = asyncio.Event()
+        self.events: EventHandover | None = None
         self.export_state: Callable[[], dict[str, float]] = dict
         self.on_inherited_state: Callable[[dict[str, float]], None] = lambda learned: None
         self.on_successor: Callable[[], None] = lambda: None
--- a/paddlequay/programs/handover.py
+++ b/paddlequay/programs/handover.py
@@ -13,6 +13,7 @@
 from paddlequay.net import listener as listeners
 from paddlequay.net.clients.client_front import ClientFront
 from paddlequay.net.endpoints.endpoint_watch import EndpointWatch
+from paddlequay.net.endpoints.event_handover import EventHandover
 from paddlequay.net.hot_restart import HotRestart
 from paddlequay.net.upstreams.pool import ConnectionPool
 from paddlequay.observability import log
@@ -41,6 +42,7 @@
         pool: ConnectionPool,
         clients: ClientFront,
         endpoint_watch: EndpointWatch,
+        events: EventHandover,
         limits: Limits,
         background: TaskSupervisor,
     ) -> None:
@@ -49,9 +51,11 @@
         self.pool = pool
         self.clients = clients
         self.endpoint_watch = endpoint_watch
+        self.events = events
         self.limits = limits
         self.background = background
         self.cluster: ClusterDriver | None = None
+        hot_restart.events = events
         hot_restart.export_state = exchange.router.export_state
         hot_restart.on_inherited_state = exchange.inherit_state
         hot_restart.on_successor = self.reserve_for_successor
@@ -67,6 +71,8 @@
                 # If the predecessor ends first, no other process serves clients, so the warm-up is cut short.
                 async with asyncio.timeout(self.limits.warm_up_timeout):
                     await self.first_of(self.warm_up(), self.hot_restart.wait_until_alone())
+            if not self.knows_all_purges:
+                self.distrust_older_copies()
         self.clients.listen(listener)
         if self.hot_restart.predecessor is not None:
             listeners.steer_to_newest(listener)
@@ -80,10 +86,31 @@
             after=elapsed_s,
             last_event=self.endpoint_watch.last_number,
             current=self.endpoint_watch.is_current.is_set(),
+            inherited=self.events.inherited.is_set(),
         )
 
+    @property
+    def knows_all_purges(self) -> bool:
+        """Returns whether the purges since the start of the predecessor are known."""
+        return self.endpoint_watch.is_current.is_set() or self.events.inherited.is_set()
+
+    def distrust_older_copies(self) -> None:
+        """Accepts no copy from before this moment until the endpoint watch has delivered all purges."""
+        log.event(LOGGER, logging.WARNING, "purges_unknown", last_event=self.endpoint_watch.last_number)
+        self.exchange.purge_all()
+        self.events.set_purges_unknown(True)
+        self.background.spawn("purges", self.trust_copies_when_current())
+
+    async def trust_copies_when_current(self) -> None:
+        """Accepts older copies again once all purges are known."""
+        await self.endpoint_watch.is_current.wait()
+        self.exchange.end_purge_of_all()
+        self.events.set_purges_unknown(False)
+
     async def warm_up(self) -> None:
         """Opens a connection to each edge cache, and waits for the complete endpoint list."""
+        if self.events.expected:
+            await self.events.inherited.wait()
         await self.pool.warm_up(self.exchange.router.edge_names())
         await self.endpoint_watch.is_current.wait()
 
--- a/paddlequay/programs/router.py
+++ b/paddlequay/programs/router.py
@@ -23,6 +23,7 @@
 from paddlequay.net.clients.client_front import ClientFront
 from paddlequay.net.console import Console
 from paddlequay.net.endpoints.endpoint_watch import EndpointWatch
+from paddlequay.net.endpoints.event_handover import EventHandover
 from paddlequay.net.hot_restart import HotRestart
 from paddlequay.net.scheduler import LoopScheduler
 from paddlequay.net.upstreams.pool import ConnectionPool
@@ -55,6 +56,7 @@
         ConfigError: If a setting is invalid or an address cannot be bound.
 
     Attributes:
+        known_events: The known events of the configuration as last read.
         members: The member sources besides the endpoint list; None if `PADDLEQUAY_DISCOVERY` is not set.
         cluster: The cluster driver; None if `PADDLEQUAY_CLUSTER` is not set or peers are not allowed.
         listener: The bound socket for clients; it starts to listen when this process takes over.
@@ -63,6 +65,7 @@
 
     def __init__(self, config: Config) -> None:
         self.config = config
+        self.known_events = config.known_events
         self.limits = config.limits
         limits = config.limits
         counters = Counters()
@@ -84,7 +87,14 @@
         self.clients = ClientFront(exchange, operator_state, quotas, limits, counters, self.overload)
         self.hot_restart = HotRestart(config.file("sock"), operator_state, quotas, limits, counters)
         self.handover = Handover(
-            self.hot_restart, exchange, self.pool, self.clients, self.endpoint_watch, limits, self.background
+            self.hot_restart,
+            exchange,
+            self.pool,
+            self.clients,
+            self.endpoint_watch,
+            EventHandover(self.endpoint_watch, lambda: self.known_events),
+            limits,
+            self.background,
         )
         self.console = Console(operator_state, self.clients, self.hot_restart, limits, counters)
         self.members = self.make_members()
@@ -170,6 +180,7 @@
             log.event(LOGGER, logging.WARNING, "reload_refused", why=str(error))
             return
         self.counters.add("reloads")
+        self.known_events = config.known_events
         self.endpoint_watch.change_address(config.endpoint_watch_address)
         host, port = config.endpoint_watch_address
         log.event(LOGGER, logging.INFO, "reloaded", bulletin=f"{host}:{port}")
--- a/paddlequay/protocol/hot_restart.py
+++ b/paddlequay/protocol/hot_restart.py
@@ -7,6 +7,8 @@
 from typing import Any
 
 from paddlequay.lifecycle.operator_state import Override, read_overrides
+from paddlequay.protocol.endpoint_watch import EndpointList, PurgeEvent, is_number
+from paddlequay.protocol.known_events import format_event, parse_known_event
 from paddlequay.requests.quotas import QuotaInUse
 
 MAX_QUOTED_LINE_BYTES = 80  # the part of an invalid line that an error message quotes
@@ -18,11 +20,16 @@
 
 @dataclass(frozen=True, slots=True)
 class StateMessage:
-    """The first message in both directions: overrides, ids of known caches and learned state."""
+    """The first message in both directions: overrides, ids of known caches and learned state.
+
+    `event_sequence` identifies the numbering of the sender's endpoint events; it is empty if the sender, a
+    process of an earlier version, exchanges no events.
+    """
 
     overrides: dict[str, Override]
     known_ids: tuple[str, ...]
     state: dict[str, float]
+    event_sequence: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,7 +53,29 @@
     """Reports that the successor accepts clients."""
 
 
-LinkMessage = StateMessage | OverrideMessage | OverrideConfirmed | SuccessorReady | QuotaInUse
+@dataclass(frozen=True, slots=True)
+class KnownEvents:
+    """A part of the events that the predecessor knows; `is_last` marks the last part.
+
+    Together the parts hold its endpoints, as one list in several events, and the purges that it remembers.
+    `number` is that of its last event; 0 if its numbers are not those of the successor.
+    """
+
+    number: int
+    events: tuple[EndpointList | PurgeEvent, ...]
+    is_last: bool
+
+
+@dataclass(frozen=True, slots=True)
+class NewEvent:
+    """An event that the sender has received from its source and applied."""
+
+    event: EndpointList | PurgeEvent
+
+
+LinkMessage = (
+    StateMessage | KnownEvents | NewEvent | OverrideMessage | OverrideConfirmed | SuccessorReady | QuotaInUse
+)
 
 
 def pack(message: LinkMessage) -> bytes:
@@ -59,6 +88,16 @@
                 "listed": message.known_ids,
                 "knowledge": message.state,
             }
+            if message.event_sequence:
+                data["sequence"] = message.event_sequence
+        case KnownEvents():
+            data = {
+                "known": message.number,
+                "items": [format_event(event) for event in message.events],
+                "last": message.is_last,
+            }
+        case NewEvent():
+            data = {"event": format_event(message.event)}
         case OverrideMessage():
             override = [message.override.issued_ns, message.override.active]
             data = {"order": {message.name: override}, "number": message.number}
@@ -75,9 +114,14 @@
     """Returns the message that a line holds. Raises `LinkProtocolError`."""
     try:
         match json.loads(line):
-            case {"state": dict(overrides), "listed": [*listed], "knowledge": dict(knowledge)}:
+            case {"state": dict(overrides), "listed": [*listed], "knowledge": dict(knowledge), **others}:
                 learned = parse_learned_state(knowledge)
-                return StateMessage(read_overrides(overrides), tuple(map(str, listed)), learned)
+                sequence = str(others.get("sequence", ""))
+                return StateMessage(read_overrides(overrides), tuple(map(str, listed)), learned, sequence)
+            case {"known": int(number), "items": [*items], "last": bool(is_last)} if is_number(number):
+                return KnownEvents(number, tuple(map(parse_known_event, items)), is_last)
+            case {"event": dict(item)}:
+                return NewEvent(parse_known_event(item))
             case {"order": dict(order), "number": int(number)} if len(order) == 1:
                 ((name, override),) = read_overrides(order).items()
                 return OverrideMessage(number, name, override)
@@ -87,7 +131,7 @@
                 return SuccessorReady()
             case {"clients": int(clients), "caches": int(caches)}:
                 return QuotaInUse(clients, caches)
-    except (TypeError, ValueError) as error:
+    except (TypeError, ValueError) as error:  # also an `EndpointWatchError`
         raise LinkProtocolError(str(error)) from None
     raise LinkProtocolError(f"expected a message, got {line[:MAX_QUOTED_LINE_BYTES]!r}")
 
--- a/paddlequay/requests/exchange.py
+++ b/paddlequay/requests/exchange.py
@@ -6,6 +6,7 @@
 """
 
 import logging
+import math
 from collections.abc import Callable
 
 from paddlequay.config.limits import Limits
@@ -168,6 +169,14 @@
         age = self.write_checks.record_purge(key, group, issued_at)
         self.deliver(Purged(age, group, key))
 
+    def purge_all(self) -> None:
+        """Counts every object as purged now, because purges may have been missed."""
+        self.write_checks.all_purged_at = self.scheduler.unix()
+
+    def end_purge_of_all(self) -> None:
+        """Ends the effect of `purge_all`, because all purges are known again."""
+        self.write_checks.all_purged_at = -math.inf
+
     def deliver(self, event: Event) -> None:
         """Delivers an event to the routing policy and executes its actions; queues events raised by them."""
         self.events.deliver(event)
--- a/paddlequay/requests/write_checks.py
+++ b/paddlequay/requests/write_checks.py
@@ -29,6 +29,7 @@
         self.scheduler = scheduler
         self.members: dict[str, Member] = {}
         self.purged_at: OrderedDict[tuple[str, int | None], float] = OrderedDict()
+        self.all_purged_at = -math.inf  # every object counts as purged at this Unix second
 
     def update_members(self, members: tuple[Member, ...], full: bool) -> None:
         """Applies a complete endpoint list (`full`) or changes to it."""
@@ -83,7 +84,8 @@
             return chosen_limit
         key_purged_at = self.purged_at.get(("key", request.key), -math.inf)
         group_purged_at = self.purged_at.get(("group", request.group), -math.inf)
-        purge_age = max(MIN_AGE_LIMIT_S, self.scheduler.unix() - max(key_purged_at, group_purged_at))
+        purged_at = max(key_purged_at, group_purged_at, self.all_purged_at)
+        purge_age = max(MIN_AGE_LIMIT_S, self.scheduler.unix() - purged_at)
         limit = chosen_limit or request_class.freshness_lifetime or math.inf
         return chosen_limit if purge_age >= limit else purge_age
 
--- a/tests/golden/golden_samples.py
+++ b/tests/golden/golden_samples.py
@@ -35,12 +35,14 @@
 from paddlequay.net.upstreams.cache_messages import request_fields
 from paddlequay.policy import Router
 from paddlequay.protocol import caches, clients, console, hot_restart
+from paddlequay.protocol.endpoint_watch import Endpoint, EndpointList, PurgeEvent
 from paddlequay.requests.messages import AnswerStatus, CopyStamp, FinalAnswer, UpstreamRequest
 from paddlequay.requests.quotas import QuotaInUse
 from paddlequay.routing.interface import (
     AttemptEnded,
     Fetch,
     LoadReport,
+    Member,
     MembersChanged,
     MemberState,
     Outcome,
@@ -56,6 +58,13 @@
     "drain": Override(1_700_000_000_000_000_002, False),
 }
 FLEET_SIZE = 12
+GOLDEN_MEMBER = Member("edge-1", "here", "box", 2, MemberState.DRAINING, 1.5, 1_764_576_000.123)
+GOLDEN_ENDPOINT = Endpoint(GOLDEN_MEMBER, ("127.0.0.1", 6565))
+REMOVED_ENDPOINT = Endpoint(Member(name="edge-2", state=MemberState.REMOVED), ("", 0))
+GOLDEN_PURGES = (
+    PurgeEvent(42, 1_764_576_000.123, 0x7F3A9C21E0B4D655, None),
+    PurgeEvent(43, 1_764_576_000.48, None, 17),
+)
 
 
 def link_messages() -> list[hot_restart.LinkMessage]:
@@ -70,6 +79,11 @@
         hot_restart.OverrideConfirmed(7),
         hot_restart.SuccessorReady(),
         QuotaInUse(341, 643),
+        hot_restart.StateMessage({}, (), {}, "8d3f0a51c2b7e694"),
+        hot_restart.KnownEvents(42, (EndpointList(42, True, (GOLDEN_ENDPOINT,)),), is_last=False),
+        hot_restart.KnownEvents(42, (GOLDEN_PURGES[0],), is_last=True),
+        hot_restart.NewEvent(GOLDEN_PURGES[1]),
+        hot_restart.NewEvent(EndpointList(44, False, (REMOVED_ENDPOINT,))),
     ]
 
 
