--- a/paddlequay/net/endpoints/event_handover.py
+++ b/paddlequay/net/endpoints/event_handover.py
@@ -85,6 +85,7 @@
             self.waiting_successors.append(link)
             self.send_to_waiting()
         else:
+            self.parts = []  # of an earlier link, which ended before the last part
             self.expected = True
 
     def close(self, link: EventLink) -> None:
--- a/tests/race_conditions/test_slow_readers.py
+++ b/tests/race_conditions/test_slow_readers.py
@@ -1,15 +1,18 @@
 """Clients that read slowly: their requests keep their answers, and their unsent answers a limit."""
 
 import asyncio
+import contextlib
+import random
 import socket
 from pathlib import Path
 from typing import Any
 
 import pytest
-from rig_clients import Rig, answers, call, play, until
+from rig_clients import Rig, answers, call, play, turns, until
 
 from paddlequay.net.clients.answer_writer import MAX_EXCESS_BYTES
 from paddlequay.net.clients.session import ClientSession
+from paddlequay.protocol import msgpack
 from paddlequay.requests.messages import AnswerStatus, FinalAnswer
 
 LARGE = bytes(240_000)  # the largest object
@@ -41,6 +44,27 @@
     return by_number
 
 
+def read_some(client: socket.socket, size: int) -> bytes:
+    """Returns up to `size` of the bytes that have arrived."""
+    data = b""
+    client.setblocking(False)
+    with contextlib.suppress(BlockingIOError):
+        while len(data) < size and (more := client.recv(size - len(data))):
+            data += more
+    client.setblocking(True)
+    return data
+
+
+def messages(data: bytes | bytearray) -> list[Any]:
+    """Returns the complete messages at the beginning of the data."""
+    found, text, at = [], bytes(data), 0
+    with contextlib.suppress(msgpack.IncompleteMessageError):
+        while at < len(text):
+            value, at = msgpack.unpack(text, at, 1 << 22)
+            found.append(value)
+    return found
+
+
 @pytest.mark.parametrize(("clients", "requests"), [(4, 6), (1, 8)], ids=["of all clients", "of one client"])
 def test_no_connection_is_closed_when_unsent_answers_reach_a_limit(
     tmp_path: Path, clients: int, requests: int
@@ -124,6 +148,42 @@
     play(tmp_path, scene, **LIMITS)
 
 
+@pytest.mark.parametrize("seed", range(6))
+def test_each_request_of_clients_that_read_at_any_pace_has_one_answer(tmp_path: Path, seed: int) -> None:
+    # Guards against: an answer lost or sent twice as calls wait, answers are replaced and bytes are read.
+    generator = random.Random(seed)
+
+    async def scene(rig: Rig) -> None:
+        clients = [await rig.client(buffer=KERNEL_BUFFER) for _ in range(6)]
+        received = [bytearray() for _ in clients]
+        numbers: list[list[int]] = [[] for _ in clients]
+        for step in range(600):
+            at = generator.randrange(len(clients))
+            client, session = clients[at]
+            match generator.randrange(4):
+                case 0 if len(session.open_requests) + len(session.waiting_calls) < 20:
+                    number = len(numbers[at]) + 1
+                    numbers[at].append(number)
+                    client.sendall(call(number, id=1 + 1000 * at + number))
+                case 1 | 2:
+                    serve_all(rig, bytes(generator.choice((1, 40_000, 240_000))))
+                case _:
+                    received[at] += read_some(client, generator.randrange(300_000))
+            if step % 5 == 0:
+                await turns()
+            assert rig.front.unsent_bytes <= 2_000_000 + len(clients) * MAX_EXCESS_BYTES
+        assert not any(session.stream.closed() for _, session in clients)
+        for at, (client, _) in enumerate(clients):
+            while len(outcomes(messages(received[at]))) < len(numbers[at]):
+                serve_all(rig)
+                await turns()
+                received[at] += read_some(client, 1 << 20)
+            assert sorted(outcomes(messages(received[at]))) == numbers[at]
+        assert rig.counters.counts["slow_readers"] == 0
+
+    play(tmp_path, scene, **LIMITS)
+
+
 def test_a_connection_that_has_ended_is_not_closed_for_others_with_answers_unsent(tmp_path: Path) -> None:
     # Guards against: answers lost because a new connection needed the descriptor of one that lingers.
     async def scene(rig: Rig) -> None:
