Keep the time of a take-over at the end of its log line

Cause: put the new fields of the event serving behind after=S, which test_readiness.py reads as the last one, as other readers of the log may. The whole suite found it: 1 failed, 2012 passed (test_a_hanging_predecessor_delays_its_successor_for_a_bounded_time).

Change: the new fields stand before it. The test is unchanged.

Measured: tests of readiness, hot restart and event handover pass.

--- a/paddlequay/programs/handover.py
+++ b/paddlequay/programs/handover.py
@@ -83,10 +83,10 @@
             logging.INFO,
             "serving",
             beside_predecessor=beside_predecessor,
-            after=elapsed_s,
             last_event=self.endpoint_watch.last_number,
             current=self.endpoint_watch.is_current.is_set(),
             inherited=self.events.inherited.is_set(),
+            after=elapsed_s,
         )
 
     @property
