Share purges between the processes of a replacement whatever their event numbers are

A purge that came later to one of them, while the watch of the other had broken off, stayed with that one.

Change: purges are exchanged in both directions for as long as both processes run, without numbers where these may differ, and applied in any order. Endpoints still need common numbers.

--- a/paddlequay/net/endpoints/event_handover.py
+++ b/paddlequay/net/endpoints/event_handover.py
@@ -8,6 +8,7 @@
 import asyncio
 import logging
 from collections.abc import Callable, Iterable, Iterator, Mapping
+from dataclasses import replace
 from itertools import islice
 from typing import Any, Protocol, TypeVar
 
@@ -45,6 +46,7 @@
         read_known: Returns the known events of the configuration as last read.
 
     Attributes:
+        purge_links: The links to all processes that exchange events; purges hold in any order.
         links: The links to processes whose events have the numbers of this process's events.
         waiting_successors: The links to successors that wait for the known events of this process.
         parts: The parts of the predecessor's known events received so far.
@@ -56,6 +58,7 @@
     def __init__(self, watch: EndpointWatch, read_known: Callable[[], Mapping[str, Any]]) -> None:
         self.watch = watch
         self.read_known = read_known
+        self.purge_links: list[EventLink] = []
         self.links: list[EventLink] = []
         self.waiting_successors: list[EventLink] = []
         self.parts: list[EndpointList | PurgeEvent] = []
@@ -79,6 +82,7 @@
         """
         if not sequence:
             return
+        self.purge_links.append(link)
         if sequence == self.sequence:
             self.links.append(link)
         if to_successor:
@@ -90,7 +94,7 @@
 
     def close(self, link: EventLink) -> None:
         """Ends the exchange with a process that has ended."""
-        for links in (self.links, self.waiting_successors):
+        for links in (self.purge_links, self.links, self.waiting_successors):
             if link in links:
                 links.remove(link)
 
@@ -156,15 +160,25 @@
         )
 
     def send_new(self, event: EndpointList | PurgeEvent) -> None:
-        """Sends an event that this process has received from its source to the other process."""
+        """Sends an event that this process has received from its source to the other process.
+
+        A process whose events have other numbers gets the purges alone, without a number.
+        """
         if isinstance(event, EndpointList) and len(event.endpoints) > MAX_ENDPOINTS_PER_EVENT:
             return
         for link in self.links:
             link.send(NewEvent(event))
+        if not isinstance(event, PurgeEvent):
+            return
+        for link in self.purge_links:
+            if link not in self.links:
+                link.send(NewEvent(replace(event, number=NO_COMMON_NUMBER)))
 
     def receive_new(self, event: EndpointList | PurgeEvent) -> None:
-        """Applies an event of the other process if it is the next one; the watch delivers all others."""
-        if event.number == self.watch.last_number + 1 and self.watch.try_to_apply(event):
+        """Applies a purge of the other process, and its next event; the watch delivers all others."""
+        if isinstance(event, PurgeEvent) and event.number != self.watch.last_number + 1:
+            self.watch.try_to_apply(event)
+        elif event.number == self.watch.last_number + 1 and self.watch.try_to_apply(event):
             self.watch.last_number = event.number
 
 
