--- a/review/second/bulletin.py
+++ b/review/second/bulletin.py
@@ -29,6 +29,7 @@
         self.due: list[float] = []
         self.server: asyncio.Server | None = None
         self.address = ""
+        self.is_up = False
         for body in first or []:
             self.publish(body, delay_s=0.0)
 
@@ -45,12 +46,25 @@
         """Returns all events as the configuration of a start holds them."""
         return {"no": len(self.events), "items": list(self.events)}
 
-    async def start(self) -> None:
-        """Listens on a free port."""
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+    async def start(self, port: int = 0) -> None:
+        """Listens on a port, a free one if it is 0."""
+        self.is_up = True
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", port)
         host, port = self.server.sockets[0].getsockname()
         self.address = f"{host}:{port}"
 
+    def go_down(self) -> None:
+        """Takes no more connections and ends those that are open."""
+        assert self.server is not None
+        self.is_up = False
+        self.server.close()
+        self.record.say("down", name=self.name)
+
+    async def come_back(self) -> None:
+        """Listens again at the same address."""
+        await self.start(int(self.address.split(":")[1]))
+        self.record.say("up", name=self.name)
+
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Tells one follower each event when it is due, and its number each second."""
         with contextlib.suppress(OSError, ValueError, IndexError):
@@ -58,7 +72,7 @@
             self.record.say("follower", of=self.name, after=told)
             connected_at = time.time()
             beat_at = 0.0
-            while not reader.at_eof():
+            while self.is_up and not reader.at_eof():
                 # An answer takes its way, too.
                 is_open = time.time() >= connected_at + self.delay_s
                 while is_open and told < len(self.events) and time.time() >= self.due[told]:
