--- a/review/6/case.py
+++ b/review/6/case.py
@@ -30,11 +30,13 @@
 
     def __init__(self, zone: Zone) -> None:
         super().__init__(zone)
+        self.answered: dict[str, float] = {}
         self.charges: set[str] = set()
 
     async def answer(self, ask: Ask) -> Answer:
         """Answers with a hit."""
         await asyncio.sleep(0.01)
+        self.answered[ask.id] = time.time()
         if ask.fields["queue"] == "toll-charge":
             self.charges.add(ask.id)
             return new_copy(*ask.part, size=200).hit("HIT")
@@ -83,7 +85,13 @@
     for client in clients:
         # Requests that were on the connection long before it could be closed. The one whose answer has begun
         # and breaks off has failed and is not lost.
-        calls = [call for call in client.calls.values() if call.sent_at < yes_at - CROSSING_S]
+        # Neither does one count that no cache had answered by then.
+        calls = [
+            call
+            for call in client.calls.values()
+            if call.sent_at < yes_at - CROSSING_S
+            and fleet.answered.get(call.fields["call"], math.inf) < yes_at - CROSSING_S / 2
+        ]
         unanswered = [call for call in calls if call.outcome == "none"]
         ran = [call for call in unanswered if call.fields["call"] in fleet.charges]
         charges += len(ran)
