Count connections closed before the client has received all answers

Change: the counter closed_undelivered, from the kernel's count of unacknowledged bytes at each close of ours.

--- a/paddlequay/net/clients/answer_writer.py
+++ b/paddlequay/net/clients/answer_writer.py
@@ -8,6 +8,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from paddlequay.config.limits import Limits
+from paddlequay.net.socket_state import unacknowledged_bytes
 from paddlequay.observability.counters import Counters
 from paddlequay.requests.messages import Buffer
 
@@ -66,6 +67,16 @@
         left_by_others = self.front.max_unsent - self.front.unsent_bytes + self.unsent_bytes
         return min(self.front.limits.max_client_unsent, left_by_others / 2)
 
+    @property
+    def undelivered_bytes(self) -> int:
+        """Returns the bytes that the client's system has not acknowledged, in the stream or the kernel.
+
+        Answers of which the kernel has accepted a part count twice in that part.
+        """
+        if self.stream.closed():
+            return 0
+        return self.unsent_bytes + unacknowledged_bytes(self.stream.socket)
+
     def has_capacity(self, size: int) -> bool:
         """Returns whether an answer of `size` bytes can be written within the limits on unsent bytes.
 
--- a/paddlequay/net/clients/session.py
+++ b/paddlequay/net/clients/session.py
@@ -247,7 +247,7 @@
         """Closes the connection if it is at rest, and returns whether it was; drops an incomplete message."""
         if not self.at_rest():
             return False
-        self.stream.close()
+        self.close_stream()
         return True
 
     def close_without_message(self) -> bool:
@@ -258,14 +258,14 @@
         """
         if self.has_sent_message or self.stream.closed() or self.input.completes_message():
             return self.close_at_rest()
-        self.stream.close()
+        self.close_stream()
         return True
 
     def close_lingering(self) -> bool:
         """Closes a lingering connection before `LINGER_S` is over, unless answers are unsent."""
         if self.writer.unsent_bytes:
             return False
-        self.stream.close()
+        self.close_stream()
         return True
 
     def close_if_quiet(self) -> bool:
@@ -291,13 +291,19 @@
             return
         self.abandon_all()
         self.ended = True
-        self.linger_timer = asyncio.get_running_loop().call_later(LINGER_S, self.stream.close)
+        self.linger_timer = asyncio.get_running_loop().call_later(LINGER_S, self.close_stream)
         self.update_idle_queue()
         self.writer.shut_down()
 
+    def close_stream(self) -> None:
+        """Closes the connection; counts it if the client has not received all answers written to it."""
+        if self.writer.undelivered_bytes:
+            self.front.counters.add("closed_undelivered")
+        self.stream.close()
+
     def close(self) -> None:
         """Closes the connection at once and withdraws its requests."""
-        self.stream.close()
+        self.close_stream()
         if self.linger_timer is not None:
             self.linger_timer.cancel()
         self.waiting_calls.clear()
--- a/paddlequay/net/clients/session_timeouts.py
+++ b/paddlequay/net/clients/session_timeouts.py
@@ -23,7 +23,7 @@
     if session.writer.unsent_bytes and stalled_s > limits.client_stall_timeout:
         counters.add("slow_readers")
         counters.add("slow_readers.stalled")
-        session.stream.close()
+        session.close_stream()
     elif silent_since is not None and now - silent_since > limits.client_silence_timeout:
         if session.at_rest():
             counters.add("silent_clients")
