Close no client connection before its answers are received

Cause: a connection counted as at rest once the kernel had taken its answers and was closed at once. The client's next request met a closed socket; the kernel reset the connection and dropped its send queue. Change: at rest means that the client's system has acknowledged all answers. Handover and drain end a connection once its client is up to date; these closes and the idle time-out end the sending side first and read on. Why it works: no socket is closed with bytes in its send queue, and a request that crosses the end resets nothing.

--- a/paddlequay/net/clients/answer_writer.py
+++ b/paddlequay/net/clients/answer_writer.py
@@ -1,6 +1,7 @@
 """Writes answers to a client without waiting, and limits the bytes that slow readers leave unsent."""
 
 import contextlib
+import math
 import socket
 from collections.abc import Callable
 from typing import Protocol
@@ -16,6 +17,8 @@
 # Rejections and errors are written even if the limits on unsent bytes are reached, up to this many bytes for
 # each connection. The protocol's 32 open requests, answered with a rejection each, need less than a tenth.
 MAX_EXCESS_BYTES = 32 * 1024
+PROMPT_BYTES = 16 * 1024  # undelivered, which even a slow client has read within some 20 ms
+SETTLE_S = 0.1  # in which a client reads the answers that only its own system has received
 
 
 class WriterFront(Protocol):
@@ -46,9 +49,13 @@
         excess_bytes: The part of `unsent_bytes` that was written beyond the limits.
         last_written_at: When the kernel last accepted an answer completely, or when the first of the unsent
             answers was written, in monotonic seconds.
+        behind_at: When a check last found more than `PROMPT_BYTES` undelivered, in monotonic seconds.
     """
 
-    __slots__ = ("excess_bytes", "front", "last_written_at", "stream", "unsent_bytes")
+    __slots__ = (
+        "behind_at", "excess_bytes", "front", "last_written_at",
+        "stream", "unsent_bytes",
+    )  # fmt: skip
 
     def __init__(self, front: WriterFront, stream: IOStream) -> None:
         self.front = front
@@ -56,6 +63,7 @@
         self.unsent_bytes = 0
         self.excess_bytes = 0
         self.last_written_at = front.now()
+        self.behind_at = -math.inf
 
     @property
     def max_unsent(self) -> float:
@@ -77,6 +85,17 @@
             return 0
         return self.unsent_bytes + unacknowledged_bytes(self.stream.socket)
 
+    def is_client_up_to_date(self) -> bool:
+        """Returns whether the client would notice the end of the connection almost at once.
+
+        It would not while it still has to read answers, in this or its own system. Called repeatedly, at
+        intervals below `SETTLE_S`.
+        """
+        now = self.front.now()
+        if self.undelivered_bytes > PROMPT_BYTES:
+            self.behind_at = now
+        return now - self.behind_at >= SETTLE_S
+
     def has_capacity(self, size: int) -> bool:
         """Returns whether an answer of `size` bytes can be written within the limits on unsent bytes.
 
--- a/paddlequay/net/clients/session.py
+++ b/paddlequay/net/clients/session.py
@@ -235,7 +235,7 @@
         if self.front.closing_when_quiet:
             self.close_if_quiet()
 
-    def at_rest(self) -> bool:
+    def has_nothing_pending(self) -> bool:
         """Returns whether no answer is pending or unsent and no received byte is unread.
 
         Checks the socket as well, so that a request counts that arrives in this iteration of the event loop.
@@ -243,6 +243,10 @@
         is_busy = self.has_open_requests or self.writer.unsent_bytes or self.ended
         return not is_busy and self.input.has_nothing_unread()
 
+    def at_rest(self) -> bool:
+        """Returns whether nothing is pending and the client's system has received all answers."""
+        return self.has_nothing_pending() and not self.writer.undelivered_bytes
+
     def close_at_rest(self) -> bool:
         """Closes the connection if it is at rest, and returns whether it was; drops an incomplete message."""
         if not self.at_rest():
@@ -250,6 +254,13 @@
         self.close_stream()
         return True
 
+    def end_at_rest(self) -> bool:
+        """Ends the connection if it is at rest, and returns whether it was; drops an incomplete message."""
+        if not self.at_rest():
+            return False
+        self.end()
+        return True
+
     def close_without_message(self) -> bool:
         """Closes the connection if it is at rest or never had a complete message; returns whether it closed.
 
@@ -262,38 +273,41 @@
         return True
 
     def close_lingering(self) -> bool:
-        """Closes a lingering connection before `LINGER_S` is over, unless answers are unsent."""
-        if self.writer.unsent_bytes:
+        """Closes a lingering connection early, unless the client has not received all answers."""
+        if self.writer.undelivered_bytes:
             return False
         self.close_stream()
         return True
 
     def close_if_quiet(self) -> bool:
-        """Closes the connection if it is at rest and not new; returns whether it closed.
+        """Ends the connection if nothing is pending and it is not new; returns whether it ended.
 
-        The first request on a new connection is probably on its way.
+        The first request on a new connection is probably on its way. A client that still receives answers
+        would notice the end only after them, and send requests until then, so its connection stays in use.
         """
         age = self.front.now() - self.connected_at
         is_new = not self.has_sent_message and age < self.front.limits.new_connection_age
-        if is_new or self.input.parser.partial or not self.close_at_rest():
+        if is_new or self.input.parser.partial or not self.has_nothing_pending():
+            return False
+        if not self.writer.is_client_up_to_date():
             return False
+        self.end()
         self.front.counters.add("closed_quiet_clients")
         return True
 
     def end(self) -> None:
-        """Ends the connection after a protocol error or at the end of the process.
+        """Ends the connection: no request is handled any more, and nothing is sent after the answers.
 
         Open requests are answered, then nothing more is written. The connection closes when the client closes
-        it, or after `LINGER_S`. If this side closed it at once while bytes are unread, the kernel would reset
-        it and the last answers would be lost.
+        it, or after `LINGER_S`.
         """
         if self.ended or self.stream.closed():
             return
         self.abandon_all()
         self.ended = True
-        self.linger_timer = asyncio.get_running_loop().call_later(LINGER_S, self.close_stream)
         self.update_idle_queue()
         self.writer.shut_down()
+        self.linger_timer = asyncio.get_running_loop().call_later(LINGER_S, self.close_stream)
 
     def close_stream(self) -> None:
         """Closes the connection; counts it if the client has not received all answers written to it."""
--- a/paddlequay/net/clients/session_timeouts.py
+++ b/paddlequay/net/clients/session_timeouts.py
@@ -25,8 +25,7 @@
         counters.add("slow_readers.stalled")
         session.close_stream()
     elif silent_since is not None and now - silent_since > limits.client_silence_timeout:
-        if session.at_rest():
+        if session.end_at_rest():  # lets it linger: the rest of its message may still arrive
             counters.add("silent_clients")
-            session.end()  # lets it linger: the rest of its message may still arrive
-    elif now - session.last_used_at > limits.client_idle_timeout and session.close_at_rest():
+    elif now - session.last_used_at > limits.client_idle_timeout and session.end_at_rest():
         counters.add("closed_idle_clients")
