Answer a fill in a test only once all requests for it are read

The node does what it should. Change: the test waits until the node's page shows 40 waiting requests; what it expects is unchanged.

--- a/tests/hierarchy/test_tier.py
+++ b/tests/hierarchy/test_tier.py
@@ -22,6 +22,7 @@
     client = ready.connect()
     for number in range(40):
         client.send_request(f"q{number}")
+    until(lambda: ready.hierarchy_page()["waiting"] == 40, "all of them are read")
     words = ready.answer_as_origin("old")
     assert not told(words).keys() & {"hops", "claim", "via"}  # an origin gets no fields of the hierarchy
     answers = [client.read_answer() for _ in range(40)]
