Close an ended connection only once its client has received all answers

Cause: a timer closed the stream 0.3 s after the end of a connection, whether answers were unsent or not; the process itself ended 0.15 s after its last time-out. The stall time-out counted whole answers, so it closed clients that read. Change: LingeringClose waits for the client's acknowledgment; a drain and a shutdown leave clients that still receive in use, reject their new requests and end them once they are up to date; the stall time-out counts acknowledged bytes. Why it works: no timer closes a client that receives; one that does not is closed by the stall time-out. Tests: six in test_undelivered_answers.py and test_shutdown.py, failing before. Two tests changed: test_unsent_bytes_are_ released[router] expected the fault (a close with answers unsent) and now expects the stall time-out's close; test_the_shutdown_completes_before_sigkill holds for clients that have received their answers, as its text now says.

--- a/paddlequay/config/limits.py
+++ b/paddlequay/config/limits.py
@@ -82,6 +82,7 @@
     accept_after_term: float = 0.5  # new connections keep arriving for 0.4 s after SIGTERM
     serve_after_term: float = 0.75  # requests on open connections keep arriving for another 0.2 s
     shutdown_timeout: float = 3.5  # all requests that are still pending then are abandoned
+    delivery_timeout: float = 30.0  # after that, for clients that still receive their answers
     flush_timeout: float = 0.5  # after `shutdown_timeout`, for answers that a tier has not sent completely
     # A drain by operators, who check after 4 s whether any connection is left, whatever the deadlines are.
     drain_accept_time: float = 0.45  # new connections still arrive, and are served, for this long
--- a/paddlequay/net/clients/answer_writer.py
+++ b/paddlequay/net/clients/answer_writer.py
@@ -9,7 +9,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from paddlequay.config.limits import Limits
-from paddlequay.net.socket_state import unacknowledged_bytes
+from paddlequay.net.socket_state import acknowledged_bytes, unacknowledged_bytes
 from paddlequay.observability.counters import Counters
 from paddlequay.requests.messages import Buffer
 
@@ -49,12 +49,15 @@
         excess_bytes: The part of `unsent_bytes` that was written beyond the limits.
         last_written_at: When the kernel last accepted an answer completely, or when the first of the unsent
             answers was written, in monotonic seconds.
+        delivered_at: When a check last found that the client had received more, in monotonic seconds.
+        acknowledged_bytes: The bytes that the client's system had acknowledged then.
+        is_shut_down: Whether the sending side of the connection is closed.
         behind_at: When a check last found more than `PROMPT_BYTES` undelivered, in monotonic seconds.
     """
 
     __slots__ = (
-        "behind_at", "excess_bytes", "front", "last_written_at",
-        "stream", "unsent_bytes",
+        "acknowledged_bytes", "behind_at", "delivered_at", "excess_bytes", "front",
+        "is_shut_down", "last_written_at", "stream", "unsent_bytes",
     )  # fmt: skip
 
     def __init__(self, front: WriterFront, stream: IOStream) -> None:
@@ -63,7 +66,10 @@
         self.unsent_bytes = 0
         self.excess_bytes = 0
         self.last_written_at = front.now()
+        self.delivered_at = self.last_written_at
+        self.acknowledged_bytes = 0
         self.behind_at = -math.inf
+        self.is_shut_down = False
 
     @property
     def max_unsent(self) -> float:
@@ -83,7 +89,10 @@
         """
         if self.stream.closed():
             return 0
-        return self.unsent_bytes + unacknowledged_bytes(self.stream.socket)
+        unacknowledged = unacknowledged_bytes(self.stream.socket)
+        if self.is_shut_down and unacknowledged:
+            unacknowledged -= 1  # the kernel counts the end of the sending side as one byte
+        return self.unsent_bytes + unacknowledged
 
     def is_client_up_to_date(self) -> bool:
         """Returns whether the client would notice the end of the connection almost at once.
@@ -96,6 +105,24 @@
             self.behind_at = now
         return now - self.behind_at >= SETTLE_S
 
+    def stalled_s(self) -> float:
+        """Returns for how many seconds the client has received nothing of its answers; 0 if it has all.
+
+        Called repeatedly, and exact to the interval between two calls.
+        """
+        if not self.undelivered_bytes:
+            return 0.0
+        now = self.front.now()
+        acknowledged = acknowledged_bytes(self.stream.socket)
+        if acknowledged != self.acknowledged_bytes:
+            self.acknowledged_bytes = acknowledged
+            self.delivered_at = now
+        return now - max(self.delivered_at, self.last_written_at)
+
+    def is_receiving(self, max_stall_s: float) -> bool:
+        """Returns whether answers are undelivered and the client has received some within `max_stall_s`."""
+        return bool(self.undelivered_bytes) and self.stalled_s() <= max_stall_s
+
     def has_capacity(self, size: int) -> bool:
         """Returns whether an answer of `size` bytes can be written within the limits on unsent bytes.
 
@@ -159,5 +186,6 @@
     def shut_down(self) -> None:
         """Closes the sending side of the connection if all answers are sent."""
         if not self.unsent_bytes and not self.stream.closed():
+            self.is_shut_down = True
             with contextlib.suppress(OSError):
                 self.stream.socket.shutdown(socket.SHUT_WR)
--- a/paddlequay/net/clients/client_front.py
+++ b/paddlequay/net/clients/client_front.py
@@ -143,11 +143,11 @@
             self.exchange.abandon_all()
 
     def shut_down_sessions(self, cause: str) -> None:
-        """Ends all remaining connections after sending their answers, and counts them under `cause`."""
+        """Ends the remaining connections whose clients are up to date, and counts them under `cause`."""
         for session in list(self.sessions):
-            if not session.ended and not session.stream.closed():
+            is_open = not session.ended and not session.stream.closed()
+            if is_open and session.end_if_up_to_date():
                 self.counters.add(cause)
-                session.end()
 
     def closed_reason(self) -> str:
         """Returns why this process accepts no clients; an empty string if it accepts them."""
--- a/paddlequay/net/clients/session.py
+++ b/paddlequay/net/clients/session.py
@@ -10,6 +10,7 @@
 from paddlequay.net.clients.client_input import ClientInput
 from paddlequay.net.clients.client_messages import FieldError, format_answer, parse_request
 from paddlequay.net.clients.idle_sessions import IdleSession
+from paddlequay.net.clients.lingering_close import LingeringClose
 from paddlequay.net.clients.open_requests import OpenRequests
 from paddlequay.net.clients.session_front import ClientSessionFront
 from paddlequay.net.clients.waiting_calls import WaitingCalls
@@ -21,7 +22,6 @@
 MIN_TIME_TO_LIVE_S = 0.001
 BACKPRESSURE_RATIO = 0.5  # calls of a client wait while more than this part of its limit is unsent
 MAX_ANSWER_HEAD = 64  # bytes of a served answer around its body, at most
-LINGER_S = 0.3  # after this side has ended a connection, it reads on for at most this long
 
 
 class ClientSession:
@@ -39,7 +39,7 @@
 
     __slots__ = (
         "connected_at", "consecutive_rejections", "ended", "front", "has_sent_message", "idle_queue", "input",
-        "is_backpressured", "last_used_at", "linger_timer", "open_requests", "stream",
+        "is_backpressured", "last_used_at", "lingering_close", "open_requests", "stream",
         "waiting_calls", "writer",
     )  # fmt: skip
 
@@ -57,7 +57,7 @@
         self.consecutive_rejections = 0
         self.is_backpressured = False
         self.ended = False
-        self.linger_timer: asyncio.TimerHandle | None = None
+        self.lingering_close: LingeringClose | None = None
 
     @property
     def is_only_rejected(self) -> bool:
@@ -295,11 +295,26 @@
         self.front.counters.add("closed_quiet_clients")
         return True
 
+    def end_if_up_to_date(self) -> bool:
+        """Answers all requests now and ends the connection, unless its client still receives answers.
+
+        Such a connection stays in use and ends once its client is up to date, so that requests which the
+        client sends until it sees the end are rejected and not lost.
+
+        Returns:
+            Whether the connection was ended.
+        """
+        if self.writer.is_client_up_to_date():
+            self.end()
+            return True
+        self.abandon_all()
+        return False
+
     def end(self) -> None:
         """Ends the connection: no request is handled any more, and nothing is sent after the answers.
 
         Open requests are answered, then nothing more is written. The connection closes when the client closes
-        it, or after `LINGER_S`.
+        it, or some time after it has received all answers.
         """
         if self.ended or self.stream.closed():
             return
@@ -307,7 +322,7 @@
         self.ended = True
         self.update_idle_queue()
         self.writer.shut_down()
-        self.linger_timer = asyncio.get_running_loop().call_later(LINGER_S, self.close_stream)
+        self.lingering_close = LingeringClose(self.writer, self.close_stream)
 
     def close_stream(self) -> None:
         """Closes the connection; counts it if the client has not received all answers written to it."""
@@ -318,7 +333,8 @@
     def close(self) -> None:
         """Closes the connection at once and withdraws its requests."""
         self.close_stream()
-        if self.linger_timer is not None:
-            self.linger_timer.cancel()
+        if self.lingering_close is not None:
+            self.lingering_close.cancel()
+            self.lingering_close = None
         self.waiting_calls.clear()
         self.open_requests.withdraw_all()
--- a/paddlequay/net/clients/session_timeouts.py
+++ b/paddlequay/net/clients/session_timeouts.py
@@ -6,9 +6,8 @@
 def close_if_timed_out(session: ClientSession, now: float) -> None:
     """Closes a connection whose client has exceeded a time-out.
 
-    The stall time-out limits how long an answer may stay unsent because the client does not read, the silence
-    time-out the wait for the first message or for the rest of a message, the idle time-out the time between
-    messages.
+    The stall time-out limits how long a client may receive nothing of its answers, the silence time-out the
+    wait for the first message or for the rest of a message, the idle time-out the time between messages.
 
     Args:
         session: The connection, with the limits of its front.
@@ -19,8 +18,7 @@
     silent_since = session.input.partial_since
     if silent_since is None and not session.has_sent_message:
         silent_since = session.connected_at
-    stalled_s = now - session.writer.last_written_at
-    if session.writer.unsent_bytes and stalled_s > limits.client_stall_timeout:
+    if session.writer.stalled_s() > limits.client_stall_timeout:
         counters.add("slow_readers")
         counters.add("slow_readers.stalled")
         session.close_stream()
--- a/paddlequay/programs/shutdown.py
+++ b/paddlequay/programs/shutdown.py
@@ -17,6 +17,7 @@
 # may be killed.
 FLUSH_TIME_S = 0.15
 LINGER_TIME_S = 0.05  # the last part of `FLUSH_TIME_S`, in which clients close their side
+MAX_STALL_S = 1.0  # a client that has received nothing for longer does not delay the end of the process
 POLL_INTERVAL_S = 0.01
 FINAL_POLL_INTERVAL_S = 0.005
 
@@ -28,7 +29,8 @@
     successor, new connections are accepted for a while after SIGTERM, and requests on open connections a
     little longer. Requests that are read near the end are rejected, because a forwarded request would be
     lost with the process. Finally each connection closes once everything received on it is answered; the
-    remaining connections close just before the process may be killed.
+    remaining connections close just before the process may be killed, but for those whose clients still
+    receive answers: a process that ends by itself loses these, and the platform may kill it later.
 
     Args:
         front: The front that holds the client connections and the exchange.
@@ -47,7 +49,9 @@
     front.close_quiet_connections()
     front.exchange.abandon_all()
     unclosed_count = len(front.sessions)
-    await flush(front, started_at + limits.shutdown_timeout + FLUSH_TIME_S)
+    flush_deadline = started_at + limits.shutdown_timeout + FLUSH_TIME_S
+    await flush(front, flush_deadline)
+    await deliver(front, flush_deadline + limits.delivery_timeout)
     log.event(LOGGER, logging.INFO, "shutdown_ended", after=now() - started_at, connections=unclosed_count)
 
 
@@ -87,11 +91,24 @@
 
 
 async def flush(front: ClientFront, deadline: float) -> None:
-    """Closes each connection once all its requests are answered, and the others just before the deadline."""
+    """Ends each connection once all its requests are answered, and the others just before the deadline.
+
+    Connections whose clients still receive answers stay open.
+    """
     now = asyncio.get_running_loop().time
     while front.sessions and now() < deadline:
         is_last_chance = now() >= deadline - LINGER_TIME_S
         for session in list(front.sessions):
             if is_last_chance or session.at_rest():
-                session.end()
+                session.end_if_up_to_date()
         await asyncio.sleep(FINAL_POLL_INTERVAL_S)
+
+
+async def deliver(front: ClientFront, deadline: float) -> None:
+    """Waits until no client receives answers any more, then ends the remaining connections."""
+    now = asyncio.get_running_loop().time
+    while now() < deadline and any(session.writer.is_receiving(MAX_STALL_S) for session in front.sessions):
+        front.close_quiet_connections()
+        await asyncio.sleep(POLL_INTERVAL_S)
+    for session in list(front.sessions):
+        session.end()
--- a/tests/race_conditions/test_client_answers.py
+++ b/tests/race_conditions/test_client_answers.py
@@ -1,6 +1,8 @@
 """One client's messages and answers where two of them cross: one answer each, nothing counted for good."""
 
+import asyncio
 import socket
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
@@ -126,6 +128,10 @@
                 session.stream.close()
             case "router":
                 session.end()
+                rig.front.limits = replace(rig.limits, client_stall_timeout=0.1)
+                for _ in range(4):  # the kernel's buffers fill before the client stalls
+                    rig.front.sweep()
+                    await asyncio.sleep(0.15)
         await until(lambda: session not in rig.front.sessions, "its session ends")
         await turns()
         assert rig.front.unsent_bytes == 0
--- a/tests/race_conditions/test_shutdown.py
+++ b/tests/race_conditions/test_shutdown.py
@@ -5,6 +5,7 @@
 import os
 import queue
 import selectors
+import socket
 import threading
 import time
 from pathlib import Path
@@ -129,6 +130,27 @@
         assert p.process.wait(WAIT) == 0 and not rows(p)
 
 
+def test_a_client_that_still_receives_answers_is_not_cut_off_by_sigterm() -> None:
+    # Guards against: answers that the process drops as it ends, 0.15 s after its last time-out.
+    with platform(settings=short(0.6)) as p:
+        client = p.client()
+        client.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16_384)
+        body = bytes(240_000)
+        for number in range(1, 41):
+            client.ask("charge", ttl="800", call=f"{number:016x}", row=f"{number:016x}")
+            p.origin.answer("HIT", "-", body)
+        until(lambda: p.counted("answer_bytes") > 40 * len(body), "all are answered")
+        p.process.terminate()
+        terminated_at = time.monotonic()
+        for _ in range(40):
+            answer = client.answer()
+            assert answer is not None and answer[2] is None and answer[3][0] == body
+            time.sleep(0.1)
+        assert client.answer() is None
+        assert time.monotonic() - terminated_at > 2.0  # all requests were over after 1.1 s
+        assert p.process.wait(WAIT) == 0
+
+
 class Jumping(selectors.DefaultSelector):
     """Waits for nothing: the loop's clock jumps to its next timer."""
 
@@ -151,10 +173,11 @@
 @pytest.mark.parametrize("deadline", [0.05, 0.1, 0.3, 0.6, 1.0, 2.0, 3.0, 8.0])
 def test_the_shutdown_completes_before_sigkill_for_any_deadlines(deadline: float) -> None:
     """With a client that is never quiet, and a request that no member answers. SIGKILL comes 0.7 s after the
-    longest deadline, which counts as 3 s where it is longer; requests come for up to 0.6 s, 0.05 s late."""
+    longest deadline, which counts as 3 s where it is longer; requests come for up to 0.6 s, 0.05 s late.
+    All clients have received their answers."""
     loop, at = Loop(), dict[str, float]()
-    restless = Mock(reader=Mock(rest=b"x"), at_rest=lambda: False)
-    restless.end = lambda: at.setdefault("shut", loop.time())
+    restless = Mock(reader=Mock(rest=b"x"), at_rest=lambda: False, writer=Mock(is_receiving=lambda _: False))
+    restless.end_if_up_to_date = lambda: at.setdefault("shut", loop.time())
     front = Mock(sessions={restless}, unsent=0)
     front.exchange = Mock(pending={"q1": None}, abandon_all=lambda: at.setdefault("given up", loop.time()))
     front.close_quiet_connections = lambda: front.near_end and at.setdefault("refusing", loop.time())
--- a/tests/race_conditions/test_undelivered_answers.py
+++ b/tests/race_conditions/test_undelivered_answers.py
@@ -3,14 +3,17 @@
 import asyncio
 import contextlib
 import socket
+import time
 from collections.abc import Callable
 from pathlib import Path
+from typing import Any
 
 import pytest
 from rig_clients import Rig, answers, call, play, turns, until
 
 from paddlequay.net.clients.session import ClientSession
 from paddlequay.net.socket_state import unacknowledged_bytes
+from paddlequay.protocol import msgpack
 
 LARGE = bytes(240_000)  # the largest object
 RECEIVE_BUFFER = 16_384  # so that nearly all answers stay in this side's kernel
@@ -104,3 +107,114 @@
         assert len(rig.side.started) == 1
 
     play(tmp_path, scene, **TIMEOUTS)
+
+
+def test_a_client_that_reads_nothing_stalls_though_the_kernel_has_taken_its_answer(tmp_path: Path) -> None:
+    # Guards against: a connection that stays for ever, as its answer is neither received nor unsent.
+    async def scene(rig: Rig) -> None:
+        _, session = await unread_answer(rig)
+        for _ in range(3):
+            rig.front.sweep()
+            await asyncio.sleep(0.15)
+        rig.front.sweep()
+        await until(session.stream.closed, "it is closed")
+        assert rig.counters.counts["slow_readers.stalled"] == 1
+
+    play(tmp_path, scene, client_stall_timeout=0.3, client_idle_timeout=0.1)
+
+
+async def slow_reader(rig: Rig, count: int) -> tuple[socket.socket, ClientSession]:
+    """Returns a client that has read nothing of so many answers, most of which are still in the process."""
+    client, session = await rig.client(buffer=RECEIVE_BUFFER)
+    client.sendall(b"".join(map(call, range(1, count + 1))))
+    await until(lambda: len(rig.side.started) == count, "all are sent on")
+    for attempt in rig.side.started:
+        rig.serve(attempt, LARGE)
+    assert session.writer.unsent_bytes > (count - 1) * len(LARGE)
+    return client, session
+
+
+async def read_slowly(client: socket.socket, pause_s: float) -> bytes:
+    """Returns all bytes up to the end of the connection, read with pauses."""
+    loop = asyncio.get_running_loop()
+    client.setblocking(False)
+    received = b""
+    while data := await asyncio.wait_for(loop.sock_recv(client, 1 << 16), 5.0):
+        received += data
+        await asyncio.sleep(pause_s)
+    return received
+
+
+def parsed(data: bytes) -> dict[int, Any]:
+    """Returns the answers by message number; fails if the last one is incomplete."""
+    found, at = {}, 0
+    while at < len(data):
+        value, at = msgpack.unpack(data, at, 1 << 22)
+        found[value[1]] = value
+    return found
+
+
+def test_the_end_of_a_drain_cuts_off_no_client_that_still_receives_answers(tmp_path: Path) -> None:
+    # Guards against: answers in the process dropped 0.3 s after a drain has ended the connection.
+    async def scene(rig: Rig) -> None:
+        client, session = await slow_reader(rig, 6)
+        rig.front.drained_at = rig.front.now() - rig.limits.drain_close_after
+        rig.front.close_quiet_connections()
+        client.sendall(call(7))
+        await until(lambda: session.last_used_at and not session.input.parser.partial, "it is read")
+        reading = asyncio.ensure_future(read_slowly(client, 0.03))
+        while not reading.done():
+            rig.front.close_quiet_connections()
+            await asyncio.sleep(rig.limits.heartbeat_interval)
+        found = parsed(reading.result())
+        assert [found[number][2] for number in range(1, 7)] == [None] * 6
+        assert found[7][2][0] == "TryLater" and len(rig.side.started) == 6
+        assert rig.counters.counts["closed_undelivered"] == 0
+
+    play(tmp_path, scene)
+
+
+def test_an_error_that_ends_a_connection_cuts_off_no_answer(tmp_path: Path) -> None:
+    # Guards against: answers dropped 0.3 s after malformed bytes that came behind the requests.
+    async def scene(rig: Rig) -> None:
+        client, session = await slow_reader(rig, 6)
+        client.sendall(b"\xc1")
+        await until(lambda: session.ended, "the connection is ended")
+        assert session.writer.unsent_bytes
+        found = parsed(await read_slowly(client, 0.03))
+        assert [found[number][2] for number in range(1, 7)] == [None] * 6
+        assert rig.counters.counts["closed_undelivered"] == 0
+
+    play(tmp_path, scene)
+
+
+def test_an_ended_connection_closes_once_its_client_receives_nothing_any_more(tmp_path: Path) -> None:
+    # Guards against: a connection that lingers for ever, as its client never receives its answers.
+    async def scene(rig: Rig) -> None:
+        _, session = await slow_reader(rig, 6)
+        session.end()
+        for _ in range(8):
+            rig.front.sweep()
+            await asyncio.sleep(0.1)
+        await until(session.stream.closed, "it is closed")
+        assert rig.counters.counts["slow_readers.stalled"] == 1
+
+    play(tmp_path, scene, client_stall_timeout=0.4)
+
+
+def test_an_answer_that_is_read_at_any_pace_does_not_stall(tmp_path: Path) -> None:
+    # Guards against: a stall time-out for a client that reads, slowly, an answer of which it gets some bytes.
+    async def scene(rig: Rig) -> None:
+        client, session = await slow_reader(rig, 3)
+        client.setblocking(False)
+        received = b""
+        started_at = time.monotonic()
+        while time.monotonic() - started_at < 1.0:
+            with contextlib.suppress(BlockingIOError):
+                received += client.recv(8192)
+            rig.front.sweep()
+            assert not session.stream.closed()
+            await asyncio.sleep(0.05)
+        assert len(received) < len(LARGE) and session.writer.unsent_bytes
+
+    play(tmp_path, scene, client_stall_timeout=0.4, client_idle_timeout=0.2)
