Wait for the receipt of answers in the tier and the console too

Callers saw: requesters of a tier node lost answers as it drained, ended or met malformed bytes behind their requests. Cause: the same as of the router's: an answer counted as sent once the kernel had it, and a socket closed with bytes unread or unacknowledged is reset by the kernel. The console closed after 0.3 s or 16 reads whatever its caller had. Change: Delivery knows what a peer has acknowledged, for AnswerWriter and TierSession; close_when_delivered ends the sending side, reads on and closes after the receipt, for the console and the tier. A tier that ends waits for requesters that still receive, as the router does; flush_timeout is gone.

--- a/paddlequay/config/limits.py
+++ b/paddlequay/config/limits.py
@@ -83,7 +83,7 @@
     serve_after_term: float = 0.75  # requests on open connections keep arriving for another 0.2 s
     shutdown_timeout: float = 3.5  # all requests that are still pending then are abandoned
     delivery_timeout: float = 30.0  # after that, for clients that still receive their answers
-    flush_timeout: float = 0.5  # after `shutdown_timeout`, for answers that a tier has not sent completely
+    delivery_stall_timeout: float = 1.0  # a client that receives nothing for longer does not delay the end
     # A drain by operators, who check after 4 s whether any connection is left, whatever the deadlines are.
     drain_accept_time: float = 0.45  # new connections still arrive, and are served, for this long
     drain_reject_after: float = 2.6  # new requests on open connections are rejected from then on
--- a/paddlequay/net/clients/answer_writer.py
+++ b/paddlequay/net/clients/answer_writer.py
@@ -1,15 +1,13 @@
 """Writes answers to a client without waiting, and limits the bytes that slow readers leave unsent."""
 
-import contextlib
 import math
-import socket
 from collections.abc import Callable
 from typing import Protocol
 
 from tornado.iostream import IOStream, StreamClosedError
 
 from paddlequay.config.limits import Limits
-from paddlequay.net.socket_state import acknowledged_bytes, unacknowledged_bytes
+from paddlequay.net.delivery import Delivery
 from paddlequay.observability.counters import Counters
 from paddlequay.requests.messages import Buffer
 
@@ -49,15 +47,12 @@
         excess_bytes: The part of `unsent_bytes` that was written beyond the limits.
         last_written_at: When the kernel last accepted an answer completely, or when the first of the unsent
             answers was written, in monotonic seconds.
-        delivered_at: When a check last found that the client had received more, in monotonic seconds.
-        acknowledged_bytes: The bytes that the client's system had acknowledged then.
-        is_shut_down: Whether the sending side of the connection is closed.
+        delivery: What the client has received.
         behind_at: When a check last found more than `PROMPT_BYTES` undelivered, in monotonic seconds.
     """
 
     __slots__ = (
-        "acknowledged_bytes", "behind_at", "delivered_at", "excess_bytes", "front",
-        "is_shut_down", "last_written_at", "stream", "unsent_bytes",
+        "behind_at", "delivery", "excess_bytes", "front", "last_written_at", "stream", "unsent_bytes",
     )  # fmt: skip
 
     def __init__(self, front: WriterFront, stream: IOStream) -> None:
@@ -66,10 +61,8 @@
         self.unsent_bytes = 0
         self.excess_bytes = 0
         self.last_written_at = front.now()
-        self.delivered_at = self.last_written_at
-        self.acknowledged_bytes = 0
+        self.delivery = Delivery(stream, front.now)
         self.behind_at = -math.inf
-        self.is_shut_down = False
 
     @property
     def max_unsent(self) -> float:
@@ -89,10 +82,7 @@
         """
         if self.stream.closed():
             return 0
-        unacknowledged = unacknowledged_bytes(self.stream.socket)
-        if self.is_shut_down and unacknowledged:
-            unacknowledged -= 1  # the kernel counts the end of the sending side as one byte
-        return self.unsent_bytes + unacknowledged
+        return self.unsent_bytes + self.delivery.unacknowledged_bytes
 
     def is_client_up_to_date(self) -> bool:
         """Returns whether the client would notice the end of the connection almost at once.
@@ -112,12 +102,7 @@
         """
         if not self.undelivered_bytes:
             return 0.0
-        now = self.front.now()
-        acknowledged = acknowledged_bytes(self.stream.socket)
-        if acknowledged != self.acknowledged_bytes:
-            self.acknowledged_bytes = acknowledged
-            self.delivered_at = now
-        return now - max(self.delivered_at, self.last_written_at)
+        return min(self.delivery.seconds_without_progress(), self.front.now() - self.last_written_at)
 
     def is_receiving(self, max_stall_s: float) -> bool:
         """Returns whether answers are undelivered and the client has received some within `max_stall_s`."""
@@ -186,6 +171,4 @@
     def shut_down(self) -> None:
         """Closes the sending side of the connection if all answers are sent."""
         if not self.unsent_bytes and not self.stream.closed():
-            self.is_shut_down = True
-            with contextlib.suppress(OSError):
-                self.stream.socket.shutdown(socket.SHUT_WR)
+            self.delivery.shut_down()
--- a/paddlequay/net/console.py
+++ b/paddlequay/net/console.py
@@ -18,6 +18,7 @@
     Override,
     TooManyOverridesError,
 )
+from paddlequay.net.delivery import close_when_delivered
 from paddlequay.net.listener import Acceptor
 from paddlequay.observability import log
 from paddlequay.observability.counters import Counters
@@ -26,7 +27,6 @@
 LOGGER = logging.getLogger(__name__)
 
 BACKLOG = 64
-MAX_LINGER_READS = 16  # reads of what the caller still sends after the answer
 
 
 class ConsoleAnswer(NamedTuple):
@@ -131,6 +131,7 @@
         try:
             async with asyncio.timeout(self.limits.console_timeout):
                 await self.call(stream)
+            await self.deliver(stream)
         except TimeoutError:
             self.counters.add("console_half_calls")
         except (StreamClosedError, OSError):
@@ -144,7 +145,7 @@
             stream.close()
 
     async def call(self, stream: IOStream) -> None:
-        """Reads one call and answers it."""
+        """Reads one call and writes its answer, without waiting for the caller to read it."""
         parser = wire.ConsoleCallParser(self.limits.max_console_head, self.limits.max_console_body)
         call = None
         try:
@@ -161,15 +162,15 @@
         self.incomplete_calls.pop(stream, None)
         self.counters.add(f"console.{answer.status}")
         head_only = call is not None and call.method == "HEAD"
-        await stream.write(wire.format_answer(answer.status, answer.text, answer.allow, head_only))
-        await self.linger(stream)
-
-    async def linger(self, stream: IOStream) -> None:
-        """Reads what the caller still sends, because a close with unread bytes would reset the connection."""
-        stream.socket.shutdown(socket.SHUT_WR)
-        async with asyncio.timeout(self.limits.console_linger):
-            for _ in range(MAX_LINGER_READS):
-                await stream.read_bytes(self.limits.read_size, partial=True)
+        stream.write(wire.format_answer(answer.status, answer.text, answer.allow, head_only))
+
+    async def deliver(self, stream: IOStream) -> None:
+        """Closes the connection once the caller has received the answer, after `console_timeout` at most."""
+        try:
+            async with asyncio.timeout(self.limits.console_timeout):
+                await close_when_delivered(stream, self.limits.console_linger, self.limits.console_timeout)
+        except TimeoutError:
+            self.counters.add("console_slow_readers")
 
     async def answer(self, call: wire.ConsoleCall) -> ConsoleAnswer:
         """Returns the answer to a call; logs the call if its method is POST."""
--- a/paddlequay/net/hierarchy/tier_front.py
+++ b/paddlequay/net/hierarchy/tier_front.py
@@ -85,16 +85,19 @@
         self.acceptor = Acceptor(listener, self._on_accept, lambda: self.limits.accepts_per_iteration)
 
     def sweep(self) -> None:
-        """Closes sessions without requests: stalled inside a message, idle for long, or while draining."""
+        """Closes sessions that are stalled, or without requests: idle for long, or while draining."""
         now = self.monotonic()
         for session in list(self.sessions):
             quiet_s = now - session.last_read_at
-            is_idle = not session.requests
+            is_idle = session.is_idle
             is_inside_message = session.parser.is_inside_message
             has_stalled = is_idle and is_inside_message and quiet_s > self.limits.client_stall_timeout
             if has_stalled or (is_idle and quiet_s > 2 * self.limits.cache_idle_timeout):
                 self.counters.add("stalled_askers" if has_stalled else "closed_idle_askers")
                 session.close()
+            elif session.has_stalled(self.limits.client_stall_timeout):
+                self.counters.add("slow_readers")
+                session.close()
             elif self._is_draining and session.is_at_rest:
                 session.close()
 
@@ -138,10 +141,9 @@
         """The numbers of open connections and requests, as text for operators."""
         return f"{len(self.sessions)} connections, {self.node.waiting_count} requests open"
 
-    @property
-    def has_unsent(self) -> bool:
-        """Whether any session has bytes that are not sent yet."""
-        return any(session.unsent_bytes for session in self.sessions)
+    def is_delivering(self, max_stall_s: float) -> bool:
+        """Returns whether any requester still receives answers, some of them within `max_stall_s`."""
+        return any(session.is_receiving(max_stall_s) for session in self.sessions)
 
     def load_report(self) -> str:
         """Returns the load report of the node."""
--- a/paddlequay/net/hierarchy/tier_session.py
+++ b/paddlequay/net/hierarchy/tier_session.py
@@ -11,6 +11,8 @@
 from paddlequay.config.limits import Limits
 from paddlequay.hierarchy.errors import FillPathError, RequestFieldError
 from paddlequay.hierarchy.fill_requests import FillRequest, ReplyReason, ReplyStatus
+from paddlequay.net.delivery import Delivery, close_when_delivered
+from paddlequay.net.socket_state import peek_unread
 from paddlequay.observability import log
 from paddlequay.observability.counters import Counters
 from paddlequay.protocol.cache_server import (
@@ -81,6 +83,7 @@
         self.requests: dict[str, FillRequest] = {}  # open requests by id
         self.unsent_bytes = 0
         self.last_read_at = front.monotonic()
+        self.delivery = Delivery(stream, front.monotonic)
 
     async def run(self) -> None:
         """Reads and handles messages until the connection ends."""
@@ -92,6 +95,7 @@
         except CacheProtocolError as error:
             if self.front.counters.add_once("bad_asker_lines"):
                 log.event(LOGGER, logging.WARNING, BAD_LINE_EVENT, why=str(error))
+            await self._end()
         except Exception:  # a fault in one connection must not affect the others
             self.front.counters.add("asker_errors")
             LOGGER.exception(SESSION_FAILED_EVENT)
@@ -102,14 +106,30 @@
         """Closes the connection and cancels the requests that are open on it."""
         self.stream.close()
         self.front.on_session_closed(self)
-        for request in self.requests.values():
-            self.front.cancel(request)
-        self.requests.clear()
+        self._cancel_requests()
+
+    @property
+    def undelivered_bytes(self) -> int:
+        """Returns the bytes that the peer has not acknowledged, in the stream or the kernel."""
+        return self.unsent_bytes + self.delivery.unacknowledged_bytes
+
+    @property
+    def is_idle(self) -> bool:
+        """Returns whether no request is open and the peer has received all answers."""
+        return not self.requests and not self.undelivered_bytes
 
     @property
     def is_at_rest(self) -> bool:
-        """Returns whether no request is open and no answer is unsent."""
-        return not self.requests and not self.unsent_bytes
+        """Returns whether the session is idle and no received byte is unread."""
+        return self.is_idle and self.stream.reading() and not peek_unread(self.stream.socket, 1)
+
+    def has_stalled(self, max_stall_s: float) -> bool:
+        """Returns whether answers are undelivered, none of which the peer has received for `max_stall_s`."""
+        return bool(self.undelivered_bytes) and self.delivery.seconds_without_progress() > max_stall_s
+
+    def is_receiving(self, max_stall_s: float) -> bool:
+        """Returns whether answers are undelivered and the peer has received some within `max_stall_s`."""
+        return bool(self.undelivered_bytes) and not self.has_stalled(max_stall_s)
 
     def has_capacity(self, body_size: int) -> bool:
         """Returns whether a body can be written within the limit on unsent bytes."""
@@ -128,6 +148,8 @@
             self.front.counters.add("slow_readers")
             self.stream.close()
             return
+        if not self.undelivered_bytes:
+            self.delivery.restart()
         self.unsent_bytes += size
         try:
             written = self.stream.write(answer)
@@ -135,6 +157,16 @@
             return
         written.add_done_callback(lambda future: self._on_written(size, future))
 
+    async def _end(self) -> None:
+        """Ends the connection once the peer has received the answers; its open requests are cancelled."""
+        self._cancel_requests()
+        await close_when_delivered(self.stream, self.limits.console_linger, self.limits.client_stall_timeout)
+
+    def _cancel_requests(self) -> None:
+        for request in self.requests.values():
+            self.front.cancel(request)
+        self.requests.clear()
+
     async def _read_messages(self) -> None:
         while True:
             data = await self.stream.read_bytes(self.limits.read_size, partial=True)
--- a/paddlequay/programs/shutdown.py
+++ b/paddlequay/programs/shutdown.py
@@ -17,7 +17,6 @@
 # may be killed.
 FLUSH_TIME_S = 0.15
 LINGER_TIME_S = 0.05  # the last part of `FLUSH_TIME_S`, in which clients close their side
-MAX_STALL_S = 1.0  # a client that has received nothing for longer does not delay the end of the process
 POLL_INTERVAL_S = 0.01
 FINAL_POLL_INTERVAL_S = 0.005
 
@@ -51,7 +50,7 @@
     unclosed_count = len(front.sessions)
     flush_deadline = started_at + limits.shutdown_timeout + FLUSH_TIME_S
     await flush(front, flush_deadline)
-    await deliver(front, flush_deadline + limits.delivery_timeout)
+    await deliver(front, limits, flush_deadline + limits.delivery_timeout)
     log.event(LOGGER, logging.INFO, "shutdown_ended", after=now() - started_at, connections=unclosed_count)
 
 
@@ -104,10 +103,11 @@
         await asyncio.sleep(FINAL_POLL_INTERVAL_S)
 
 
-async def deliver(front: ClientFront, deadline: float) -> None:
+async def deliver(front: ClientFront, limits: Limits, deadline: float) -> None:
     """Waits until no client receives answers any more, then ends the remaining connections."""
     now = asyncio.get_running_loop().time
-    while now() < deadline and any(session.writer.is_receiving(MAX_STALL_S) for session in front.sessions):
+    max_stall_s = limits.delivery_stall_timeout
+    while now() < deadline and any(session.writer.is_receiving(max_stall_s) for session in front.sessions):
         front.close_quiet_connections()
         await asyncio.sleep(POLL_INTERVAL_S)
     for session in list(front.sessions):
--- a/paddlequay/programs/tier_shutdown.py
+++ b/paddlequay/programs/tier_shutdown.py
@@ -20,13 +20,13 @@
 async def shut_down(
     front: TierFront, listener: socket.socket, saved_topology: SavedTopology | None, limits: Limits
 ) -> None:
-    """Stops accepting, answers open requests until the time-out, then abandons the rest and flushes.
+    """Stops accepting, answers open requests until the time-out, and waits until all answers are received.
 
     Args:
         front: The front, whose sessions are flushed at the end.
         listener: The front's listening socket, which is closed.
         saved_topology: The saved topology, whose last save is waited for; None if the node saves none.
-        limits: How long open requests and unsent bytes may take, in seconds.
+        limits: How long open requests and undelivered answers may take, in seconds.
     """
     monotonic = asyncio.get_running_loop().time
     started_at = monotonic()
@@ -36,12 +36,14 @@
         front.acceptor.stop()
     listener.close()
     answer_deadline = started_at + limits.shutdown_timeout
-    while monotonic() < answer_deadline and (front.node.waiting_count or front.has_unsent):
+    while monotonic() < answer_deadline and (
+        front.node.waiting_count or front.is_delivering(limits.delivery_stall_timeout)
+    ):
         await asyncio.sleep(POLL_INTERVAL_S)
     front.exchange.abandon_all()
     front.execute(front.node.expire(math.inf))
-    flush_deadline = monotonic() + limits.flush_timeout
-    while monotonic() < flush_deadline and front.has_unsent:
+    delivery_deadline = monotonic() + limits.delivery_timeout
+    while monotonic() < delivery_deadline and front.is_delivering(limits.delivery_stall_timeout):
         await asyncio.sleep(POLL_INTERVAL_S)
     if saved_topology is not None:
         await saved_topology.flush()
--- a/tests/hierarchy/rig_tier.py
+++ b/tests/hierarchy/rig_tier.py
@@ -67,8 +67,12 @@
 class TierClient:
     """A connection to a tier from an edge cache, a router or another node."""
 
-    def __init__(self, port: int) -> None:
-        self.socket = socket.create_connection(("127.0.0.1", port), timeout=WAIT)
+    def __init__(self, port: int, receive_buffer: int = 0) -> None:
+        self.socket = socket.socket()
+        self.socket.settimeout(WAIT)
+        if receive_buffer:
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
+        self.socket.connect(("127.0.0.1", port))
         self.file = self.socket.makefile("rb")
 
     def send_request(self, id: str, name: str = f"{7:016x}", **fields: str) -> None:
@@ -169,8 +173,8 @@
         text = ",".join(f"{key}={value}" for key, value in stamp.items())
         return self.origin.answer(status, text, tag.encode())
 
-    def connect(self, name: str = "a") -> TierClient:
-        return TierClient(self.ports[name][0])
+    def connect(self, name: str = "a", receive_buffer: int = 0) -> TierClient:
+        return TierClient(self.ports[name][0], receive_buffer)
 
     def wait_for_log_line(self, text: str) -> str:
         """Wait for a log line that contains a text, and return it."""
--- a/tests/hierarchy/test_tier.py
+++ b/tests/hierarchy/test_tier.py
@@ -1,16 +1,18 @@
 """The tier as a real process; the test plays its clients, the other nodes, the origin and the feed."""
 
+import contextlib
 import os
 import signal
 import socket
 import subprocess
 import sys
 import time
+from collections.abc import Callable
 from pathlib import Path
 
 import pytest
 from harness import ROOT, WAIT, Party, told, until
-from rig_tier import SECRET, FeedServer, Rig, node, rig_with_ready_tier, tier_rig
+from rig_tier import SECRET, FeedServer, Rig, TierClient, node, rig_with_ready_tier, tier_rig
 
 from paddlequay.hierarchy.fill_path import FillPath, Keyring, SigningKey
 
@@ -57,6 +59,48 @@
     assert {(each[1], len(each[3])) for each in answers} == {("HIT", 240_000), ("SHED", 0)}
 
 
+def drain(rig: Rig, _: TierClient) -> None:
+    assert rig.call_console("/-/drain")[0] == 200
+
+
+def send_malformed_bytes(_: Rig, client: TierClient) -> None:
+    client.socket.sendall(b"noise\r\n")
+
+
+def terminate(rig: Rig, _: TierClient) -> None:
+    rig.processes["a"].terminate()
+
+
+CLOSES = {"drain": drain, "malformed bytes": send_malformed_bytes, "SIGTERM": terminate}
+
+
+@pytest.mark.parametrize("close", CLOSES.values(), ids=CLOSES)
+def test_a_requester_that_still_receives_answers_loses_none_by_a_close(
+    ready: Rig, close: Callable[[Rig, TierClient], None]
+) -> None:
+    # Guards against: answers in the process or the kernel, dropped as the node closes the connection.
+    client = ready.connect(receive_buffer=16_384)
+    client.send_request("first")
+    stamp = f"tag=t,minted={round(time.time() * 1000)}"
+    ready.origin.answer("HIT", stamp, bytes(240_000))
+    assert client.read_answer()[1] == "HIT"
+    for number in range(8):
+        client.send_request(f"q{number}")
+    time.sleep(0.3)  # the node reads them all
+    until(lambda: ready.hierarchy_page()["waiting"] == 0, "all are answered")
+    close(ready, client)
+    time.sleep(0.6)  # two sweeps
+    with contextlib.suppress(OSError):
+        client.send_request("late")
+    answers = []
+    for _ in range(8):
+        answers.append(client.read_answer())
+        time.sleep(0.1)
+    assert [(each[0], each[1], len(each[3])) for each in answers] == [
+        (f"q{number}", "HIT", 240_000) for number in range(8)
+    ]
+
+
 def test_requests_for_cached_copies_only_are_answered_at_once_without_a_fill(ready: Rig) -> None:
     client = ready.connect()
     client.send_request("q1", via="")
