Bound the memory of incomplete messages, and free that of closed connections at once

Cause: the error of a failed write, kept by the stream, refers to the frames that handled a message, and they refer to the stream: only the garbage collector freed sessions, their messages and incomplete messages. Incomplete messages had a limit for each connection only, and the bytes of a read were kept while the next one waited. Evidence: 432 of 640 sessions in memory were closed ones; their frames and calls held 40 of 61 MB of received bytes. Change: release_error_frames at the end of client, cache and tier connections; InputQuota bounds the sum of long incomplete messages; reads of 16 KB, not kept.

--- a/paddlequay/config/limits.py
+++ b/paddlequay/config/limits.py
@@ -31,6 +31,10 @@
     max_client_unsent: int = 12 * 1024 * 1024
     max_unsent: int = 48 * 1024 * 1024
     client_stall_timeout: float = 10.0
+    # Incomplete messages of more than `client_read_size`, over all connections.
+    max_input_bytes: int = 12 * 1024 * 1024
+    # For such a message, while other connections wait to receive one.
+    client_message_timeout: float = 9.0
     client_silence_timeout: float = 2.5  # without a byte, before the first message or inside one
     # A connection that received a part of a message this recently is closed last to make room for others.
     recent_progress_window: float = 0.5
@@ -168,6 +172,9 @@
         max_unsent=int(memory_bytes / 4),
         max_client_unsent=int(memory_bytes / 8),
         max_body_bytes=int(memory_bytes / 8),
+        max_input_bytes=int(memory_bytes / 16),
+        # A client waits no longer than this for the answer to a request, counted from its first byte.
+        client_message_timeout=defaults.max_time_to_live * longest_deadline,
         max_open_requests=int(positive(platform, "settings.limits.maxOpen", 20000, lowest=1)),
         # No request waits for a connection for longer than its deadline.
         connect_timeout=min(longest_deadline, positive(platform, "settings.limits.dialTimeout", 0.4)),
--- a/paddlequay/net/clients/client_front.py
+++ b/paddlequay/net/clients/client_front.py
@@ -9,6 +9,7 @@
 from paddlequay.lifecycle.operator_state import DRAIN, OperatorState
 from paddlequay.lifecycle.overload import OverloadGuard
 from paddlequay.net.clients.idle_sessions import IdleSessions
+from paddlequay.net.clients.input_quota import InputQuota
 from paddlequay.net.clients.session import ClientSession
 from paddlequay.net.clients.session_reader import SessionReader
 from paddlequay.net.clients.session_timeouts import close_if_timed_out
@@ -63,6 +64,7 @@
         self.counters = counters
         self.sessions: set[ClientSession] = set()
         self.idle_sessions = IdleSessions()
+        self.input_quota = InputQuota(limits, quotas, self.now)
         self.tasks: set[asyncio.Task[None]] = set()
         self.overload = overload
         self.overload_answer = FinalAnswer(AnswerStatus.REJECTED, retry_after=limits.shed_retry_after)
@@ -236,3 +238,4 @@
             if session.is_backpressured:
                 session.submit_waiting()
             close_if_timed_out(session, now)
+        self.input_quota.close_disconnected()
--- a/paddlequay/net/clients/client_input.py
+++ b/paddlequay/net/clients/client_input.py
@@ -13,6 +13,7 @@
 # An attempt must not start more than 0.1 s after its client has disconnected or cancelled; both times are
 # well below that.
 MAX_BACKLOG_S = 0.03  # while more bytes can be read, calls wait up to this long, because a cancel may follow
+LONG_MESSAGE_READS = 4  # the rest of a long message is read in chunks so many times as large
 RECHECK_AFTER_S = 0.01  # a client found to be connected is not checked again for this long
 
 
@@ -48,12 +49,12 @@
     def start_read(self) -> asyncio.Future[bytes]:
         """Starts the next read, which is done at once if bytes have been received already.
 
-        The rest of a long message is read in large chunks. Small calls are read in small chunks, so that
+        The rest of a long message is read in larger chunks. Small calls are read in small chunks, so that
         other connections are served in between.
         """
         limits = self.limits
         is_long_message = len(self.parser.partial) >= limits.client_read_size
-        chunk_size = limits.max_client_frame if is_long_message else limits.client_read_size
+        chunk_size = limits.client_read_size * (LONG_MESSAGE_READS if is_long_message else 1)
         self.stream.read_chunk_size = chunk_size
         reading = asyncio.ensure_future(self.stream.read_bytes(chunk_size, partial=True))
         self.pending_read = reading
--- a/paddlequay/net/clients/session.py
+++ b/paddlequay/net/clients/session.py
@@ -14,6 +14,8 @@
 from paddlequay.net.clients.open_requests import OpenRequests
 from paddlequay.net.clients.session_front import ClientSessionFront
 from paddlequay.net.clients.waiting_calls import WaitingCalls
+from paddlequay.net.socket_state import is_hung_up
+from paddlequay.net.stream_errors import release_error_frames
 from paddlequay.protocol import clients as wire
 from paddlequay.protocol.msgpack import MalformedMessageError
 from paddlequay.requests.messages import AnswerStatus, Buffer, ClientRequest, FinalAnswer
@@ -320,10 +322,20 @@
             return
         self.abandon_all()
         self.ended = True
+        self.drop_partial_message()
         self.update_idle_queue()
         self.writer.shut_down()
         self.lingering_close = LingeringClose(self.writer, self.close_stream)
 
+    def has_hung_up(self) -> bool:
+        """Returns whether the client has closed the connection, or it is broken."""
+        return self.stream.closed() or is_hung_up(self.stream.socket)
+
+    def drop_partial_message(self) -> None:
+        """Frees the memory of an incomplete message, which will not be completed."""
+        self.input.parser.partial = b""
+        self.front.input_quota.release(self)
+
     def close_stream(self) -> None:
         """Closes the connection; counts it if the client has not received all answers written to it."""
         if self.writer.undelivered_bytes:
@@ -333,6 +345,8 @@
     def close(self) -> None:
         """Closes the connection at once and withdraws its requests."""
         self.close_stream()
+        release_error_frames(self.stream)
+        self.drop_partial_message()
         if self.lingering_close is not None:
             self.lingering_close.cancel()
             self.lingering_close = None
--- a/paddlequay/net/clients/session_front.py
+++ b/paddlequay/net/clients/session_front.py
@@ -5,6 +5,7 @@
 from paddlequay.lifecycle.overload import OverloadGuard
 from paddlequay.net.clients.answer_writer import WriterFront
 from paddlequay.net.clients.idle_sessions import IdleSessions
+from paddlequay.net.clients.input_quota import InputQuota
 from paddlequay.net.clients.waiting_calls import WaitingCallsFront
 from paddlequay.requests.exchange import Exchange
 from paddlequay.requests.messages import FinalAnswer
@@ -18,6 +19,7 @@
     overload_answer: FinalAnswer
     draining_answer: FinalAnswer
     idle_sessions: IdleSessions
+    input_quota: InputQuota
     rejects_new_calls: bool
     closing_when_quiet: bool
 
--- a/paddlequay/net/clients/session_reader.py
+++ b/paddlequay/net/clients/session_reader.py
@@ -53,15 +53,30 @@
             reads += 1
             if not self.session.ended:
                 self.handle(data)
+            size = len(data)
+            del data  # not kept while the next read waits
+            await self.reserve_memory()
             if self.session.is_only_rejected and self.messages_since_pause >= MESSAGES_PER_PAUSE:
                 # Backpressure for a client that gets only rejections.
                 self.messages_since_pause = 0
                 await asyncio.sleep(limits.rejection_pause)
             elif self.input.backlog_since is not None:
                 # A read that need not wait does not yield, so one client could occupy the event loop.
-                if len(data) >= limits.client_read_size or reads % MAX_READS_PER_ITERATION == 0:
+                if size >= limits.client_read_size or reads % MAX_READS_PER_ITERATION == 0:
                     await asyncio.sleep(0)
 
+    async def reserve_memory(self) -> None:
+        """Waits until there is memory for the rest of a long message that is incomplete."""
+        quota = self.front.input_quota
+        if self.session.stream.closed():
+            return  # the next reads return what was received before
+        if len(self.input.parser.partial) < self.limits.client_read_size:
+            quota.release(self.session)
+        elif not quota.reserve(self.session):
+            self.front.counters.add("input_waits")
+            self.session.submit_waiting()
+            await quota.wait(self.session)
+
     async def read(self) -> bytes:
         """Returns the next bytes; submits the waiting calls once all received bytes are read."""
         session = self.session
--- a/paddlequay/net/clients/session_timeouts.py
+++ b/paddlequay/net/clients/session_timeouts.py
@@ -1,4 +1,4 @@
-"""Closes client connections that exceed the stall, silence or idle time-out."""
+"""Closes client connections that exceed the stall, message, silence or idle time-out."""
 
 from paddlequay.net.clients.session import ClientSession
 
@@ -22,6 +22,9 @@
         counters.add("slow_readers")
         counters.add("slow_readers.stalled")
         session.close_stream()
+    elif session.front.input_quota.is_overdue(session):
+        if session.end_at_rest():
+            counters.add("slow_writers")
     elif silent_since is not None and now - silent_since > limits.client_silence_timeout:
         if session.end_at_rest():  # lets it linger: the rest of its message may still arrive
             counters.add("silent_clients")
--- a/paddlequay/net/hierarchy/tier_session.py
+++ b/paddlequay/net/hierarchy/tier_session.py
@@ -13,6 +13,7 @@
 from paddlequay.hierarchy.fill_requests import FillRequest, ReplyReason, ReplyStatus
 from paddlequay.net.delivery import Delivery, close_when_delivered
 from paddlequay.net.socket_state import peek_unread
+from paddlequay.net.stream_errors import release_error_frames
 from paddlequay.observability import log
 from paddlequay.observability.counters import Counters
 from paddlequay.protocol.cache_server import (
@@ -105,6 +106,7 @@
     def close(self) -> None:
         """Closes the connection and cancels the requests that are open on it."""
         self.stream.close()
+        release_error_frames(self.stream)
         self.front.on_session_closed(self)
         self._cancel_requests()
 
--- a/paddlequay/net/upstreams/connection.py
+++ b/paddlequay/net/upstreams/connection.py
@@ -14,6 +14,7 @@
 from paddlequay.config.limits import Limits
 from paddlequay.config.values import Address
 from paddlequay.net.socket_state import peek_byte
+from paddlequay.net.stream_errors import release_error_frames
 from paddlequay.net.upstreams.cache_messages import parse_result, request_fields
 from paddlequay.observability.counters import Counters
 from paddlequay.policy.failure_detector import LatencyDistribution
@@ -157,6 +158,7 @@
         Those in flight end as reset, because they may have been executed. Those that wait were not sent.
         """
         self.stream.close()
+        release_error_frames(self.stream)
         self.instance.forget(self)
         in_flight = list(self.in_flight.values())
         self.in_flight = {}
