Give a client that sends at full speed a part of the time only

Cause: only a client whose answers were all rejections was read more slowly; a read of 4 KB can hold 400 queries, some 30 ms of work without a break, and the full core made the process shed the requests of all clients. Evidence: a probe on real processes with ten kinds of messages; only kinds without a rejection led to shedding. Change: after 2 ms of work on a client that always has more to read, its reader pauses for twice that time; reads shrink while they take longer; what comes on an ended connection is dropped at a pace.

--- a/paddlequay/net/clients/client_input.py
+++ b/paddlequay/net/clients/client_input.py
@@ -13,6 +13,8 @@
 # An attempt must not start more than 0.1 s after its client has disconnected or cancelled; both times are
 # well below that.
 MAX_BACKLOG_S = 0.03  # while more bytes can be read, calls wait up to this long, because a cancel may follow
+MAX_BUSY_S = 0.002  # on the messages of one read, before the event loop serves other connections
+MIN_READ_SIZE = 256
 LONG_MESSAGE_READS = 4  # the rest of a long message is read in chunks so many times as large
 RECHECK_AFTER_S = 0.01  # a client found to be connected is not checked again for this long
 
@@ -26,12 +28,13 @@
         pending_read: The read in progress, or a completed one whose bytes are not handled yet.
         backlog_since: Since when no read has had to wait for bytes; None if the last one had to.
         backlog_messages: The number of messages read since `backlog_since`.
+        read_size: The size of the next read, unless it continues a long message.
         checked_at: When the client was last found to be connected, with no byte unread.
     """
 
     __slots__ = (
         "backlog_messages", "backlog_since", "checked_at", "limits", "now", "parser", "partial_reads",
-        "partial_since", "pending_read", "stream",
+        "partial_since", "pending_read", "read_size", "stream",
     )  # fmt: skip
 
     def __init__(self, stream: IOStream, limits: Limits, now: Callable[[], float]) -> None:
@@ -45,6 +48,7 @@
         self.backlog_since: float | None = None
         self.backlog_messages = 0
         self.checked_at = -math.inf
+        self.read_size = limits.client_read_size
 
     def start_read(self) -> asyncio.Future[bytes]:
         """Starts the next read, which is done at once if bytes have been received already.
@@ -54,7 +58,7 @@
         """
         limits = self.limits
         is_long_message = len(self.parser.partial) >= limits.client_read_size
-        chunk_size = limits.client_read_size * (LONG_MESSAGE_READS if is_long_message else 1)
+        chunk_size = limits.client_read_size * LONG_MESSAGE_READS if is_long_message else self.read_size
         self.stream.read_chunk_size = chunk_size
         reading = asyncio.ensure_future(self.stream.read_bytes(chunk_size, partial=True))
         self.pending_read = reading
@@ -67,6 +71,13 @@
             self.backlog_since = now
         return reading
 
+    def adapt_read_size(self, busy_s: float) -> None:
+        """Halves or doubles the size of small reads, by the seconds that the last one has taken."""
+        if busy_s > MAX_BUSY_S:
+            self.read_size = max(MIN_READ_SIZE, self.read_size // 2)
+        elif busy_s < MAX_BUSY_S / 4:
+            self.read_size = min(self.limits.client_read_size, self.read_size * 2)
+
     def is_backlogged(self) -> bool:
         """Returns whether no read has had to wait for bytes for longer than `MAX_BACKLOG_S`."""
         return self.backlog_since is not None and self.now() - self.backlog_since > MAX_BACKLOG_S
--- a/paddlequay/net/clients/session_reader.py
+++ b/paddlequay/net/clients/session_reader.py
@@ -5,6 +5,7 @@
 
 from tornado.iostream import StreamClosedError
 
+from paddlequay.net.clients.client_input import MAX_BUSY_S
 from paddlequay.net.clients.session import ClientSession
 from paddlequay.observability import log
 from paddlequay.protocol import clients as wire
@@ -13,6 +14,7 @@
 LOGGER = logging.getLogger(__name__)
 
 MESSAGES_PER_PAUSE = 16  # read between pauses from a client that gets only rejections
+PAUSE_RATIO = 2.0  # seconds of pause for each second spent
 MAX_READS_PER_ITERATION = 4  # reads without waiting, before the event loop serves other connections
 
 
@@ -23,6 +25,10 @@
     cancel or a close that the client has sent after a request prevents attempts for that request. A
     half-close counts as a close, because the two cannot be told apart. The session does not refer to its
     reader, because a connection in a reference cycle is freed late.
+
+    Attributes:
+        messages_since_pause: The number of messages read since the last pause for rejections only.
+        busy_s: The seconds spent on messages since the last pause, or since a read had to wait for bytes.
     """
 
     def __init__(self, session: ClientSession) -> None:
@@ -31,6 +37,7 @@
         self.front = session.front
         self.limits = session.front.limits
         self.messages_since_pause = 0
+        self.busy_s = 0.0
 
     async def run(self) -> None:
         """Reads and handles messages until the connection closes."""
@@ -51,8 +58,12 @@
         while True:
             data = await self.read()
             reads += 1
+            started_at = self.front.now()
             if not self.session.ended:
                 self.handle(data)
+            busy_s = self.front.now() - started_at
+            self.busy_s += busy_s
+            self.input.adapt_read_size(busy_s)
             size = len(data)
             del data  # not kept while the next read waits
             await self.reserve_memory()
@@ -60,9 +71,16 @@
                 # Backpressure for a client that gets only rejections.
                 self.messages_since_pause = 0
                 await asyncio.sleep(limits.rejection_pause)
+            elif self.session.ended:
+                await asyncio.sleep(limits.rejection_pause)
+            elif self.busy_s >= MAX_BUSY_S:
+                # A client that always has more to read gets a part of the time; the others get the rest.
+                pause_s = self.busy_s * PAUSE_RATIO
+                self.busy_s = 0.0
+                await asyncio.sleep(pause_s)
             elif self.input.backlog_since is not None:
                 # A read that need not wait does not yield, so one client could occupy the event loop.
-                if size >= limits.client_read_size or reads % MAX_READS_PER_ITERATION == 0:
+                if size >= self.input.read_size or reads % MAX_READS_PER_ITERATION == 0:
                     await asyncio.sleep(0)
 
     async def reserve_memory(self) -> None:
@@ -82,6 +100,7 @@
         session = self.session
         reading = self.input.start_read()
         if not reading.done():
+            self.busy_s = 0.0
             if not session.has_sent_message and not self.input.partial_reads:
                 # Only now does the connection count as idle: bytes sent with its connect are read first.
                 session.update_idle_queue()
