Run a request once though its id comes again after its client has left

Cause: an id was known only while its request was pending; a withdrawn request may have run all the same. Change: ExecutedIds holds such ids from the first write on, bounded in age and number; the processes of a hot restart exchange them, with a key of the first message that tells whether the other one understands them.

--- a/paddlequay/net/hot_restart.py
+++ b/paddlequay/net/hot_restart.py
@@ -22,6 +22,7 @@
 from paddlequay.observability import log
 from paddlequay.observability.counters import Counters
 from paddlequay.protocol import hot_restart as wire
+from paddlequay.requests.executed_ids import ExecutedIds
 from paddlequay.requests.quotas import ProcessQuotas, QuotaInUse
 
 LOGGER = logging.getLogger(__name__)
@@ -39,6 +40,7 @@
         state_received: Set once the other process has sent its state, or the link has ended.
         successor_ready: Whether the other process is a successor that accepts clients.
         has_state: Whether the other process has sent its state.
+        exchanges_ids: Whether the other process understands ids of executed requests.
         awaiting_confirmation: Futures of the overrides that are sent and not confirmed yet, by number.
     """
 
@@ -49,6 +51,7 @@
         self.state_received = asyncio.Event()
         self.successor_ready = False
         self.has_state = False
+        self.exchanges_ids = False
         self.awaiting_confirmation: dict[int, asyncio.Future[bool]] = {}
 
     def send(self, message: wire.LinkMessage) -> None:
@@ -79,7 +82,9 @@
         known_ids = tuple(operator_state.known_ids)
         events = self.owner.events
         sequence = "" if events is None else events.sequence
-        self.send(wire.StateMessage(operator_state.overrides, known_ids, learned, sequence))
+        executed_ids = self.owner.executed_ids.recent()
+        state = wire.StateMessage(operator_state.overrides, known_ids, learned, sequence, executed_ids)
+        self.send(state)
         try:
             while True:
                 data = await self.stream.read_bytes(self.owner.limits.read_size, partial=True)
@@ -107,14 +112,7 @@
         events = self.owner.events
         match message:
             case wire.StateMessage():
-                self.has_state = True
-                operator_state.record_listed(message.known_ids)
-                operator_state.apply_all(message.overrides)
-                if self is self.owner.predecessor:
-                    self.owner.on_inherited_state(message.state)
-                if events is not None:
-                    events.open(self, message.event_sequence, to_successor=self is self.owner.successor)
-                self.state_received.set()
+                self.receive_state(message)
             case wire.KnownEvents() if events is not None:
                 events.receive_known(message)
             case wire.NewEvent() if events is not None:
@@ -127,12 +125,30 @@
                 confirmed = self.awaiting_confirmation.get(message.number)
                 if confirmed is not None and not confirmed.done():
                     confirmed.set_result(True)
+            case wire.RequestExecuted():
+                self.owner.executed_ids.inherit(message.id)
             case wire.SuccessorReady():
                 self.successor_ready = True
                 self.owner.report_successor_ready()
             case QuotaInUse():
                 self.owner.quotas.use_rest_of(message)
 
+    def receive_state(self, message: wire.StateMessage) -> None:
+        """Applies the state that the other process has when the link begins."""
+        operator_state = self.owner.operator_state
+        self.has_state = True
+        operator_state.record_listed(message.known_ids)
+        operator_state.apply_all(message.overrides)
+        self.exchanges_ids = message.executed_ids is not None
+        for id in message.executed_ids or ():
+            self.owner.executed_ids.inherit(id)
+        if self is self.owner.predecessor:
+            self.owner.on_inherited_state(message.state)
+        if self.owner.events is not None:
+            to_successor = self is self.owner.successor
+            self.owner.events.open(self, message.event_sequence, to_successor=to_successor)
+        self.state_received.set()
+
     async def relay(self, message: wire.OverrideMessage) -> None:
         """Confirms an override to its sender once a third process, if there is one, has applied it too."""
         if await self.owner.confirm(message.name, message.override, excluded=self):
@@ -162,10 +178,13 @@
         path: Path,
         operator_state: OperatorState,
         quotas: ProcessQuotas,
+        executed_ids: ExecutedIds,
         limits: Limits,
         counters: Counters,
     ) -> None:
         self.path = path
+        self.executed_ids = executed_ids
+        executed_ids.on_add = self.report_executed
         self.operator_state = operator_state
         self.quotas = quotas
         self.limits = limits
@@ -325,6 +344,12 @@
         ]
         return all(await asyncio.gather(*(link.confirm(name, override) for link in links)))
 
+    def report_executed(self, id: str) -> None:
+        """Reports to the other processes that an attempt of a request that must run once was written."""
+        for link in (self.predecessor, self.successor):
+            if link is not None and link.exchanges_ids:
+                link.send(wire.RequestExecuted(id))
+
     def announce_ready(self) -> None:
         """Reports to the predecessor that this process accepts clients."""
         if self.predecessor is not None:
--- a/paddlequay/programs/router.py
+++ b/paddlequay/programs/router.py
@@ -85,7 +85,9 @@
         )
         self.overload = OverloadGuard(limits, config.seed)
         self.clients = ClientFront(exchange, operator_state, quotas, limits, counters, self.overload)
-        self.hot_restart = HotRestart(config.file("sock"), operator_state, quotas, limits, counters)
+        self.hot_restart = HotRestart(
+            config.file("sock"), operator_state, quotas, exchange.executed_ids, limits, counters
+        )
         self.handover = Handover(
             self.hot_restart,
             exchange,
--- a/paddlequay/protocol/hot_restart.py
+++ b/paddlequay/protocol/hot_restart.py
@@ -23,13 +23,15 @@
     """The first message in both directions: overrides, ids of known caches and learned state.
 
     `event_sequence` identifies the numbering of the sender's endpoint events; it is empty if the sender, a
-    process of an earlier version, exchanges no events.
+    process of an earlier version, exchanges no events. `executed_ids` are the ids of requests that must not
+    be executed again; None if the sender, a process of an earlier version, exchanges no ids.
     """
 
     overrides: dict[str, Override]
     known_ids: tuple[str, ...]
     state: dict[str, float]
     event_sequence: str = ""
+    executed_ids: tuple[str, ...] | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,8 +75,22 @@
     event: EndpointList | PurgeEvent
 
 
+@dataclass(frozen=True, slots=True)
+class RequestExecuted:
+    """Reports that an attempt of a request that is not idempotent was written; `id` is the request's id."""
+
+    id: str
+
+
 LinkMessage = (
-    StateMessage | KnownEvents | NewEvent | OverrideMessage | OverrideConfirmed | SuccessorReady | QuotaInUse
+    StateMessage
+    | KnownEvents
+    | NewEvent
+    | OverrideMessage
+    | OverrideConfirmed
+    | SuccessorReady
+    | QuotaInUse
+    | RequestExecuted
 )
 
 
@@ -90,6 +106,8 @@
             }
             if message.event_sequence:
                 data["sequence"] = message.event_sequence
+            if message.executed_ids is not None:
+                data["executed"] = message.executed_ids
         case KnownEvents():
             data = {
                 "known": message.number,
@@ -103,6 +121,8 @@
             data = {"order": {message.name: override}, "number": message.number}
         case OverrideConfirmed():
             data = {"confirmed": message.number}
+        case RequestExecuted():
+            data = {"ran": message.id}
         case SuccessorReady():
             data = {"ready": True}
         case QuotaInUse():
@@ -117,7 +137,10 @@
             case {"state": dict(overrides), "listed": [*listed], "knowledge": dict(knowledge), **others}:
                 learned = parse_learned_state(knowledge)
                 sequence = str(others.get("sequence", ""))
-                return StateMessage(read_overrides(overrides), tuple(map(str, listed)), learned, sequence)
+                executed = others.get("executed")
+                executed_ids = tuple(map(str, executed)) if isinstance(executed, list) else None
+                known_ids = tuple(map(str, listed))
+                return StateMessage(read_overrides(overrides), known_ids, learned, sequence, executed_ids)
             case {"known": int(number), "items": [*items], "last": bool(is_last)} if is_number(number):
                 return KnownEvents(number, tuple(map(parse_known_event, items)), is_last)
             case {"event": dict(item)}:
@@ -127,6 +150,8 @@
                 return OverrideMessage(number, name, override)
             case {"confirmed": int(number)}:
                 return OverrideConfirmed(number)
+            case {"ran": str(id)}:
+                return RequestExecuted(id)
             case {"ready": True}:
                 return SuccessorReady()
             case {"clients": int(clients), "caches": int(caches)}:
--- a/paddlequay/requests/attempts.py
+++ b/paddlequay/requests/attempts.py
@@ -6,6 +6,7 @@
 
 from paddlequay.config.limits import Limits
 from paddlequay.observability.counters import Counters
+from paddlequay.requests.executed_ids import ExecutedIds
 from paddlequay.requests.messages import (
     NO_FIELDS,
     AnswerStatus,
@@ -38,6 +39,7 @@
     """Owns the pending requests to which the attempts belong."""
 
     pending: dict[str, PendingRequest]
+    executed_ids: ExecutedIds
 
     def drop_if_disconnected(self, pending: PendingRequest) -> bool:
         """Withdraws a request if its client has disconnected, and returns whether it has."""
@@ -155,6 +157,8 @@
     def mark_written(self, attempt: UpstreamAttempt) -> None:
         """Records that an attempt was written completely, so that the target may execute it from now on."""
         attempt.written_at = self.scheduler.monotonic()
+        if attempt.never_resend:
+            self.owner.executed_ids.add(attempt.id)
         self.counters.add("sent")
 
     def end(self, attempt: UpstreamAttempt, result: AttemptResult) -> None:
--- a/paddlequay/requests/exchange.py
+++ b/paddlequay/requests/exchange.py
@@ -16,6 +16,7 @@
 from paddlequay.policy import Router
 from paddlequay.requests.attempts import AttemptRunner
 from paddlequay.requests.event_queue import RoutingEventQueue
+from paddlequay.requests.executed_ids import ExecutedIds
 from paddlequay.requests.intake import RequestIntake
 from paddlequay.requests.messages import (
     AnswerStatus,
@@ -34,6 +35,7 @@
     Event,
     Fail,
     Fetch,
+    Idempotency,
     LogMessage,
     Member,
     MembersChanged,
@@ -70,6 +72,7 @@
         self.scheduler = scheduler
         self.counters = counters
         self.intake = RequestIntake(limits, quotas, counters)
+        self.executed_ids = ExecutedIds(scheduler.monotonic)
         self.pending = self.intake.by_serial
         self.write_checks = WriteChecks(operator_state, limits, scheduler)
         self.members = self.write_checks.members
@@ -97,6 +100,9 @@
         now = self.scheduler.monotonic()
         self.counters.add(f"received.{request.class_name}")
         answer = self.intake.immediate_answer(request)
+        if answer is None and request.id in self.executed_ids and self.must_run_once(request):
+            self.counters.add("rejected.id_executed")
+            answer = FinalAnswer(AnswerStatus.FAILED)
         if answer is not None:
             send_answer(answer)
             return None
@@ -115,6 +121,10 @@
             self.schedule_deadline(pending, time_left)
         return pending
 
+    def must_run_once(self, request: ClientRequest) -> bool:
+        """Returns whether a request must not run twice and no cache recognizes its repetition."""
+        return self.router.classes[request.class_name].idempotency is Idempotency.NON_IDEMPOTENT
+
     def schedule_deadline(self, pending: PendingRequest, time_left: float) -> None:
         """Guarantees a final answer at the deadline, whatever the routing policy does."""
         delay = max(0.0, time_left) + DEADLINE_SLACK_S
@@ -239,6 +249,8 @@
     def answer(self, pending: PendingRequest, answer: FinalAnswer) -> None:
         """Sends the one final answer to a request."""
         self.release(pending)
+        if answer.status is AnswerStatus.REJECTED and self.must_run_once(pending.request):
+            self.executed_ids.remove(pending.request.id)  # a rejection promises that there was no effect
         self.counters.add(f"answered.{answer.status.value}")
         try:
             pending.send_answer(answer)
--- a/tests/golden/golden_samples.py
+++ b/tests/golden/golden_samples.py
@@ -84,6 +84,8 @@
         hot_restart.KnownEvents(42, (GOLDEN_PURGES[0],), is_last=True),
         hot_restart.NewEvent(GOLDEN_PURGES[1]),
         hot_restart.NewEvent(EndpointList(44, False, (REMOVED_ENDPOINT,))),
+        hot_restart.StateMessage({}, (), {}, "8d3f0a51c2b7e694", ("9b1f03aa5c7e2d41",)),
+        hot_restart.RequestExecuted("9b1f03aa5c7e2d42"),
     ]
 
 
--- a/tests/programs/test_hot_restart.py
+++ b/tests/programs/test_hot_restart.py
@@ -15,6 +15,7 @@
 from paddlequay.net.hot_restart import HotRestart
 from paddlequay.observability.counters import Counters
 from paddlequay.protocol import hot_restart as link_protocol
+from paddlequay.requests.executed_ids import ExecutedIds
 from paddlequay.requests.quotas import ProcessQuotas, QuotaInUse
 
 
@@ -190,8 +191,9 @@
 
     async def run_test() -> None:
         limits = Limits(confirm_timeout=0.2)
+        state, executed_ids = OperatorState(tmp_path / "a.json"), ExecutedIds(time.monotonic)
         hot_restart = HotRestart(
-            tmp_path / "a.sock", OperatorState(tmp_path / "a.json"), ProcessQuotas(limits), limits, Counters()
+            tmp_path / "a.sock", state, ProcessQuotas(limits), executed_ids, limits, Counters()
         )
         # The search for a predecessor has not started, so nothing is confirmed.
         assert not await hot_restart.confirm("drain", Override(1, True))
--- a/tests/race_conditions/test_hot_restart_races.py
+++ b/tests/race_conditions/test_hot_restart_races.py
@@ -12,14 +12,14 @@
 from paddlequay.lifecycle.operator_state import OperatorState
 from paddlequay.net.hot_restart import HotRestart
 from paddlequay.observability.counters import Counters
+from paddlequay.requests.executed_ids import ExecutedIds
 from paddlequay.requests.quotas import ProcessQuotas
 
 
 def made(folder: Path) -> HotRestart:
     limits = Limits()
-    return HotRestart(
-        folder / "a.sock", OperatorState(folder / "a.json"), ProcessQuotas(limits), limits, Counters()
-    )
+    state, executed_ids = OperatorState(folder / "a.json"), ExecutedIds(time.monotonic)
+    return HotRestart(folder / "a.sock", state, ProcessQuotas(limits), executed_ids, limits, Counters())
 
 
 def test_a_third_process_waits_for_the_takeover_in_progress(tmp_path: Path) -> None:
