--- a/paddlequay/programs/router.py
+++ b/paddlequay/programs/router.py
@@ -88,16 +88,7 @@
         self.hot_restart = HotRestart(
             config.file("sock"), operator_state, quotas, exchange.executed_ids, limits, counters
         )
-        self.handover = Handover(
-            self.hot_restart,
-            exchange,
-            self.pool,
-            self.clients,
-            self.endpoint_watch,
-            EventHandover(self.endpoint_watch, lambda: self.known_events),
-            limits,
-            self.background,
-        )
+        self.handover = self.make_handover()
         self.console = Console(operator_state, self.clients, self.hot_restart, limits, counters)
         self.members = self.make_members()
         self.cluster = self.make_cluster()
@@ -109,6 +100,19 @@
         self.stop = asyncio.Event()
         self.handle_signals()
 
+    def make_handover(self) -> Handover:
+        """Returns what takes over from a predecessor and yields to a successor."""
+        return Handover(
+            self.hot_restart,
+            self.exchange,
+            self.pool,
+            self.clients,
+            self.endpoint_watch,
+            EventHandover(self.endpoint_watch, lambda: self.known_events),
+            self.limits,
+            self.background,
+        )
+
     def apply_known_events(self) -> None:
         """Applies the endpoint list of the configuration. Raises `ConfigError` if it is invalid."""
         try:
