Wait for events of the lab's stream server without a lock

The trace: a task of the stand-in was cancelled inside asyncio.wait_for(Condition.wait()) while that waited for the condition's lock again; the block around it then gave the lock back for the other task, which waited for ever. Change: an Event for each change, whose wait holds no lock.

--- a/paddlequay/lab/event_stream_server.py
+++ b/paddlequay/lab/event_stream_server.py
@@ -27,7 +27,7 @@
         self.server: asyncio.Server | None = None
         self.writers: set[asyncio.StreamWriter] = set()
         self.address: tuple[str, int] = ANY_ADDRESS
-        self.changed = asyncio.Condition()
+        self.changed = asyncio.Event()  # of the next event; set once and then replaced
 
     async def start(self) -> None:
         """Listens on a free port from now on."""
@@ -36,9 +36,9 @@
 
     async def publish(self, **event: Any) -> None:
         """Appends an event, with the next number."""
-        async with self.changed:
-            self.events.append({"no": len(self.events) + 1, **event})
-            self.changed.notify_all()
+        self.events.append({"no": len(self.events) + 1, **event})
+        self.changed.set()
+        self.changed = asyncio.Event()
 
     def close(self) -> None:
         """Stops listening and closes all connections."""
@@ -70,7 +70,6 @@
                 heartbeat_at = time.monotonic()
                 writer.write(json.dumps({"no": last}).encode() + b"\n")
             await writer.drain()
-            async with self.changed:
-                if last >= len(self.events):
-                    with contextlib.suppress(TimeoutError):
-                        await asyncio.wait_for(self.changed.wait(), POLL_INTERVAL_S)
+            if last >= len(self.events):
+                with contextlib.suppress(TimeoutError):
+                    await asyncio.wait_for(self.changed.wait(), POLL_INTERVAL_S)
