Carry omissions under way and pauses over when the sources of members are replaced

Cause: on SIGHUP, with_sources reported the members of each remaining source anew to an empty membership. A member that its list had omitted for 29 s began another 30 s, and a member held back for flapping returned at once. Change: discovery/inheritance.py exports what a membership was told (reports, removals, omissions with their time, pauses, assumed start times) and lets another membership take it over; with_sources uses it, and the hot restart will. The records stand in routing/membership_state.py, as a router without discovery settings loads nothing of discovery. Result: both tests of replaced sources in tests/discovery/test_inheritance.py failed on (omission told as "ready", member back by "list says so") and pass; tests/discovery, golden samples, layout and readiness pass. x86_64.

--- a/paddlequay/cli/lookups.py
+++ b/paddlequay/cli/lookups.py
@@ -8,12 +8,12 @@
 import dns.name
 
 from paddlequay.config.values import Address
-from paddlequay.discovery.reports import ReportedMember
 from paddlequay.discovery.resolver import Resolver
 from paddlequay.discovery.resolver_types import RecordSetUpdate, RecordType
 from paddlequay.discovery.srv import Service, ServiceWatch
 from paddlequay.net.endpoints.dns import ResolverDriver
 from paddlequay.observability.counters import Counters
+from paddlequay.routing.membership_state import ReportedMember
 
 POLL_INTERVAL_S = 0.01
 MEMBER_KIND = "box"
--- a/paddlequay/discovery/address_rules.py
+++ b/paddlequay/discovery/address_rules.py
@@ -2,8 +2,9 @@
 
 from paddlequay.discovery.flapping import FlapGuard
 from paddlequay.discovery.report_index import ReportIndex
-from paddlequay.discovery.reports import Address, Explanation, MembershipRule, SourceReport, SourceState
+from paddlequay.discovery.reports import Explanation, MembershipRule, SourceReport, SourceState
 from paddlequay.routing.interface import MemberState
+from paddlequay.routing.membership_state import Address
 
 
 def explain_absence(index: ReportIndex, flaps: FlapGuard, address: Address, now: float) -> Explanation:
--- a/paddlequay/discovery/address_timers.py
+++ b/paddlequay/discovery/address_timers.py
@@ -3,7 +3,7 @@
 import heapq
 from collections.abc import Iterator
 
-from paddlequay.discovery.reports import Address
+from paddlequay.routing.membership_state import Address
 
 
 class AddressTimers:
--- a/paddlequay/discovery/explanation.py
+++ b/paddlequay/discovery/explanation.py
@@ -4,7 +4,8 @@
 
 from paddlequay.discovery.address_rules import explain_absence
 from paddlequay.discovery.membership import Membership
-from paddlequay.discovery.reports import Address, MembershipChange, SourceReport, SourceState
+from paddlequay.discovery.reports import MembershipChange, SourceReport, SourceState
+from paddlequay.routing.membership_state import Address
 
 MAX_SHOWN_MEMBERS = 2000  # members on one page of the console
 
--- a/paddlequay/discovery/flapping.py
+++ b/paddlequay/discovery/flapping.py
@@ -4,7 +4,8 @@
 from collections import OrderedDict, deque
 from dataclasses import dataclass, field
 
-from paddlequay.discovery.reports import Address, MembershipLimits
+from paddlequay.discovery.reports import MembershipLimits
+from paddlequay.routing.membership_state import Address
 
 MAX_HISTORIES = 20_000
 CHANGES_PER_FLAP = 2  # an addition and a removal
@@ -29,10 +30,8 @@
     def record(self, address: Address, now: float) -> None:
         """Records an addition or removal; more than `max_flaps` of each in `flap_window` start a pause."""
         limits = self.limits
-        history = self.histories.setdefault(address, FlapHistory())
-        self.histories.move_to_end(address)
-        while len(self.histories) > MAX_HISTORIES:
-            self.histories.popitem(last=False)
+        history = self.histories.get(address, FlapHistory())
+        self.restore(address, history)
         history.changed_at.append(now)
         while now - history.changed_at[0] > limits.flap_window:
             history.changed_at.popleft()
@@ -41,6 +40,13 @@
             history.paused_until = now + history.pause
             history.changed_at.clear()
 
+    def restore(self, address: Address, history: FlapHistory) -> None:
+        """Sets the history of an address; drops the oldest ones beyond `MAX_HISTORIES`."""
+        self.histories[address] = history
+        self.histories.move_to_end(address)
+        while len(self.histories) > MAX_HISTORIES:
+            self.histories.popitem(last=False)
+
     def paused_until(self, address: Address, now: float) -> float | None:
         """Returns when the pause of an address ends; None if it has no pause."""
         history = self.histories.get(address)
--- a/paddlequay/discovery/membership.py
+++ b/paddlequay/discovery/membership.py
@@ -27,10 +27,8 @@
 from paddlequay.discovery.flapping import FlapGuard
 from paddlequay.discovery.report_index import ReportIndex
 from paddlequay.discovery.reports import (
-    Address,
     MembershipChange,
     MembershipLimits,
-    ReportedMember,
     SourceReport,
     SourceRule,
     SourceState,
@@ -39,6 +37,7 @@
 from paddlequay.discovery.snapshot import members_from_data, members_to_data
 from paddlequay.discovery.start_times import StartTimes
 from paddlequay.routing.interface import MemberState
+from paddlequay.routing.membership_state import Address, ReportedMember
 
 # Added to `silent_after`, so that the source of saved members counts as silent at once.
 SILENCE_MARGIN_S = 0.001
--- a/paddlequay/discovery/reconfiguration.py
+++ b/paddlequay/discovery/reconfiguration.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 from dataclasses import replace
 
+from paddlequay.discovery.inheritance import export_state, inherit_state
 from paddlequay.discovery.membership import Membership
 from paddlequay.discovery.reports import MembershipChange, MembershipLimits, MembershipRule, SourceRule
 from paddlequay.routing.interface import MemberState
@@ -13,8 +14,9 @@
 ) -> tuple[Membership, list[MembershipChange]]:
     """Returns a membership with other sources, and the changes that follow.
 
-    The reports of sources that remain are carried over; those of the others are dropped. Members known
-    before and after are not announced again, so that no connection in use is closed.
+    What the sources that remain have told is carried over, with omissions under way and pauses; the reports
+    of the others are dropped. Members known before and after are not announced again, so that no connection
+    in use is closed.
 
     Args:
         old: The membership in service.
@@ -23,16 +25,7 @@
         now: The time in seconds of the membership's clock.
     """
     new = Membership(rules, limits)
-    for name, source in old.sources.items():
-        if name in new.sources and source.reports:
-            members = [report.member for report in source.reports.values()]
-            new.report(name, members, True, source.last_heard_at)
-            new.sources[name].last_heard_at = source.last_heard_at
-    for (name, id), removal in old.index.removals.items():
-        if name in new.sources and id not in new.sources[name].reports:
-            new.index.record_removal(removal)
-    new.update_members(dict.fromkeys([*new.index.reports_by_address]), now)
-    new.start_times.first_report_at = old.start_times.first_report_at
+    inherit_state(new, export_state(old), now)
     return new, changes_between(old, new)
 
 
--- a/paddlequay/discovery/report_index.py
+++ b/paddlequay/discovery/report_index.py
@@ -6,7 +6,8 @@
 from collections import OrderedDict
 from collections.abc import Iterator, Mapping
 
-from paddlequay.discovery.reports import Address, ReportKey, SourceReport, SourceState
+from paddlequay.discovery.reports import ReportKey, SourceReport, SourceState
+from paddlequay.routing.membership_state import Address
 
 MAX_REMOVALS = 20_000  # of all sources; the oldest are dropped
 
--- a/paddlequay/discovery/reports.py
+++ b/paddlequay/discovery/reports.py
@@ -7,8 +7,8 @@
 
 from paddlequay.errors import PaddlequayError
 from paddlequay.routing.interface import MemberState
+from paddlequay.routing.membership_state import ReportedMember
 
-Address = tuple[str, int]
 ReportKey = tuple[str, str]  # source and id
 
 
@@ -31,23 +31,6 @@
     reason: str
 
 
-@dataclass(frozen=True, slots=True)
-class ReportedMember:
-    """One member as a source reports it.
-
-    `started` is the start time in Unix seconds; None if the source does not know it.
-    """
-
-    id: str
-    address: Address
-    kind: str | None = None
-    zone: str | None = None
-    cell: int | None = None
-    weight: float | None = None
-    started: float | None = None
-    state: MemberState = MemberState.READY
-
-
 @dataclass(frozen=True, slots=True)
 class SourceRule:
     """The settings of one source. Sources are ordered by priority: the first wins a contradiction."""
--- a/paddlequay/discovery/snapshot.py
+++ b/paddlequay/discovery/snapshot.py
@@ -3,8 +3,8 @@
 from collections.abc import Iterable
 from typing import Any
 
-from paddlequay.discovery.reports import ReportedMember
 from paddlequay.routing.interface import MemberState
+from paddlequay.routing.membership_state import ReportedMember
 
 
 def members_to_data(members: Iterable[ReportedMember]) -> dict[str, Any]:
--- a/paddlequay/discovery/srv.py
+++ b/paddlequay/discovery/srv.py
@@ -18,9 +18,9 @@
 from dns.rdtypes.IN.SRV import SRV
 
 from paddlequay.discovery.answers import Name
-from paddlequay.discovery.reports import Address, ReportedMember
 from paddlequay.discovery.resolver_types import RecordSetUpdate, RecordType
 from paddlequay.routing.interface import MemberState
+from paddlequay.routing.membership_state import Address, ReportedMember
 
 MAX_TARGETS = 2000  # of one service
 ADDRESS_TYPES = (dns.rdatatype.A, dns.rdatatype.AAAA)
--- a/paddlequay/discovery/start_times.py
+++ b/paddlequay/discovery/start_times.py
@@ -1,6 +1,7 @@
 """Estimates the start times of members whose source does not report them, in Unix seconds."""
 
-from paddlequay.discovery.reports import Address, MembershipLimits, ReportedMember, SourceReport
+from paddlequay.discovery.reports import MembershipLimits, SourceReport
+from paddlequay.routing.membership_state import Address, ReportedMember
 
 
 class StartTimes:
--- a/paddlequay/lab/sources.py
+++ b/paddlequay/lab/sources.py
@@ -19,7 +19,7 @@
 
 from paddlequay.discovery.answers import DnsQuestion, build_query, parse_answer
 from paddlequay.discovery.membership import Membership
-from paddlequay.discovery.reports import ReportedMember, SourceRule
+from paddlequay.discovery.reports import SourceRule
 from paddlequay.discovery.resolver import Resolver
 from paddlequay.discovery.resolver_types import SendQuery
 from paddlequay.lab.claims import Results, Setup
@@ -27,6 +27,7 @@
 from paddlequay.lab.load import LoadSummary
 from paddlequay.lab.zone_cluster import ZoneCluster, ZonePlan
 from paddlequay.routing.interface import MemberState
+from paddlequay.routing.membership_state import ReportedMember
 
 SERVICE = "_box._tcp.plaza.example."
 TEXT = """discovery {
--- a/paddlequay/net/endpoints/dns_source.py
+++ b/paddlequay/net/endpoints/dns_source.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 
 from paddlequay.discovery.answers import Name
-from paddlequay.discovery.reports import ReportedMember
 from paddlequay.discovery.resolver import Resolver
 from paddlequay.discovery.resolver_types import RecordSetUpdate, RecordType
 from paddlequay.discovery.srv import ServiceWatch
@@ -13,6 +12,7 @@
 from paddlequay.net.endpoints.dns import ResolverDriver
 from paddlequay.observability import log
 from paddlequay.observability.counters import Counters
+from paddlequay.routing.membership_state import ReportedMember
 from paddlequay.schema.discovery import DiscoverySettings
 
 LOGGER = logging.getLogger(__name__)
--- a/paddlequay/net/endpoints/members.py
+++ b/paddlequay/net/endpoints/members.py
@@ -9,7 +9,7 @@
 from paddlequay.discovery.explanation import explain, membership_page
 from paddlequay.discovery.membership import Membership
 from paddlequay.discovery.reconfiguration import with_sources
-from paddlequay.discovery.reports import MembershipChange, ReportedMember, TooManyMembersError
+from paddlequay.discovery.reports import MembershipChange, TooManyMembersError
 from paddlequay.lifecycle.background import TaskSupervisor
 from paddlequay.net.endpoints.dns_source import DnsSource
 from paddlequay.net.endpoints.endpoint_watch import EndpointWatch
@@ -21,6 +21,7 @@
 from paddlequay.protocol.endpoint_watch import Endpoint, EndpointList
 from paddlequay.requests.exchange import Exchange
 from paddlequay.routing.interface import MemberState
+from paddlequay.routing.membership_state import ReportedMember
 from paddlequay.schema.discovery import DiscoverySettings
 
 LOGGER = logging.getLogger(__name__)
--- a/tests/discovery/test_membership.py
+++ b/tests/discovery/test_membership.py
@@ -12,14 +12,9 @@
 
 from paddlequay.discovery.explanation import explain
 from paddlequay.discovery.membership import Membership
-from paddlequay.discovery.reports import (
-    MembershipChange,
-    MembershipLimits,
-    ReportedMember,
-    SourceRule,
-    TooManyMembersError,
-)
+from paddlequay.discovery.reports import MembershipChange, MembershipLimits, SourceRule, TooManyMembersError
 from paddlequay.routing.interface import MemberState
+from paddlequay.routing.membership_state import ReportedMember
 
 READY, DRAINING, REMOVED = MemberState.READY, MemberState.DRAINING, MemberState.REMOVED
 RULES = (
--- a/tests/golden/golden_samples.py
+++ b/tests/golden/golden_samples.py
@@ -19,7 +19,7 @@
 from paddlequay.cluster.messages import MESSAGE_TYPES, PeerMessage
 from paddlequay.cluster.wire import Codec, Header
 from paddlequay.discovery.membership import Membership
-from paddlequay.discovery.reports import ReportedMember, SourceRule
+from paddlequay.discovery.reports import SourceRule
 from paddlequay.hierarchy.migration import MigrationLimits, MigrationPlan
 from paddlequay.hierarchy.topology import (
     NodeSpec,
@@ -49,6 +49,7 @@
     ReplyDetail,
     Request,
 )
+from paddlequay.routing.membership_state import ReportedMember
 from paddlequay.store.record import encode
 
 ROOT = Path(__file__).parent.parent.parent
