Hand what sources of members have told over to the successor of a hot restart

Cause: the new process starts with `known` of the old one's start and gets the present endpoints as a whole list. It reported that list to its membership as one of the source, so that the four members it lacks were omissions, and more than 30%: kept by rule `mass`. Evidence: /-/members of the new process on has rule=mass, why="list leaves it out since 0 s" for all four, 0.1 s after its yes and 3 s later; the old one had recorded four removals. Change: the predecessor hands over the facts themselves: reports, removals, omissions with their time, pauses of flapping addresses and assumed start times (InheritedMembers), and the successor's membership takes them over in place of those of `known`. Withdrawals hold as soon as their part has come. A predecessor of an earlier version hands over its list only: what it lacks counts as removed. A successor of an earlier version is sent the removed members in the list, as terminated. Where the numbers are others, withdrawals alone are exchanged, and those of large events, as ListChanges. Saved members give way to a predecessor's. Log event members_inherited. Golden samples: link_members.jsonl is added, none is changed; both are sent only to a process that tells that it understands them.

--- a/paddlequay/net/endpoints/endpoint_watch.py
+++ b/paddlequay/net/endpoints/endpoint_watch.py
@@ -2,11 +2,12 @@
 
 import logging
 from collections.abc import Callable, Iterable, Iterator, Mapping
-from dataclasses import replace
 from typing import Any
 
 from paddlequay.config.limits import Limits
 from paddlequay.config.values import Address
+from paddlequay.net.endpoints.known_endpoints import KnownEndpoints, with_state
+from paddlequay.net.endpoints.link_withdrawals import NO_COMMON_NUMBER, LinkWithdrawals
 from paddlequay.net.endpoints.watch_client import WatchClient
 from paddlequay.net.endpoints.watch_connection import EventParser
 from paddlequay.net.upstreams.pool import ConnectionPool
@@ -14,6 +15,7 @@
 from paddlequay.observability.counters import Counters
 from paddlequay.protocol import endpoint_watch as wire
 from paddlequay.protocol.endpoint_watch import (
+    UNKNOWN_ADDRESS,
     Endpoint,
     EndpointList,
     PurgeEvent,
@@ -22,6 +24,7 @@
 )
 from paddlequay.requests.exchange import Exchange
 from paddlequay.routing.interface import MemberState
+from paddlequay.routing.membership_state import MembershipState
 
 LOGGER = logging.getLogger(__name__)
 
@@ -34,10 +37,16 @@
     """Updates the exchange and the pool from the endpoint list.
 
     Attributes:
-        endpoints: The endpoints as the list has them, by id.
-        on_new_event: Called with each event that was received from the source and applied.
+        known_endpoints: The endpoints as the list has them, and those that it has removed.
+        withdrawals: The drains and removals that only the other process of a hot restart was told of.
+        last_changes: The endpoints that the last list has changed, those that it removed as `REMOVED`.
+        on_new_event: Called with each event that was received from the source and applied, and the endpoints
+            that it has changed.
         on_endpoint_list: Called with each list. Applies it directly, unless `MemberSources` sets it to report
             the list to the membership.
+        on_inherited: Called with the predecessor's list, and with what its sources have told. The list is
+            None if that of this process is later or has other numbers. `MemberSources` replaces it.
+        export_members: Returns what the sources have told. `MemberSources` replaces it.
         on_heartbeat: Called at each heartbeat at which all published events are applied.
         own_number: The number of the last event before the predecessor's events were inherited; None if they
             were not.
@@ -52,9 +61,13 @@
         super().__init__(address, limits, counters, "endpoint_watch")
         self.exchange = exchange
         self.pool = pool
-        self.endpoints: dict[str, Endpoint] = {}
-        self.on_new_event: Callable[[EndpointList | PurgeEvent], None] = lambda event: None
+        self.known_endpoints = KnownEndpoints()
+        self.withdrawals = LinkWithdrawals()
+        self.last_changes: tuple[Endpoint, ...] = ()
+        self.on_new_event: Callable[[EndpointList | PurgeEvent, tuple[Endpoint, ...]], None] = ignore_event
         self.on_endpoint_list: Callable[[EndpointList], None] = self.apply_endpoint_list
+        self.on_inherited: Callable[[EndpointList | None, MembershipState], None] = self.apply_inherited
+        self.export_members: Callable[[], MembershipState] = self.withdrawn_members
         self.on_heartbeat: Callable[[], None] = lambda: None
         self.own_number: int | None = None
         self.low_heartbeats = 0
@@ -93,16 +106,99 @@
         self.check_inherited_number(number)
         self.on_heartbeat()
 
-    def inherit(self, number: int, endpoints: tuple[Endpoint, ...]) -> None:
-        """Applies the predecessor's endpoints, unless a later event than its last one has come already."""
-        if number <= self.last_number:
-            return
+    def inherit(
+        self, number: int, endpoints: tuple[Endpoint, ...], state: MembershipState | None = None
+    ) -> None:
+        """Takes over the predecessor's endpoints, unless a later event than its last one has come already.
+
+        Args:
+            number: The number of the predecessor's last event; 0 if its numbers are others.
+            endpoints: The predecessor's endpoints.
+            state: What the predecessor's sources have told; None from a process of an earlier version.
+        """
+        state = state or MembershipState()
+        is_later = number > self.last_number
         listed = EndpointList(number, True, endpoints)
-        if not self.try_to_apply(listed):
-            self.skip_event(listed)
+        try:
+            self.on_inherited(listed if is_later else None, state)
+        except Exception as error:  # error boundary: the link to the predecessor stays open
+            self.report.failed(error)
+            if is_later:
+                self.skip_event(listed)
+        self.known_endpoints.inherit_removals(state)
+        if not is_later:
+            return
+        self.update_endpoints(listed)
+        self.counters.add("endpoint_lists")
+        self.withdrawals.forget_until(number)
         self.own_number = self.last_number
         self.last_number = number
 
+    def apply_inherited(self, listed: EndpointList | None, state: MembershipState) -> None:
+        """Applies the predecessor's list directly, for a router without other sources."""
+        if listed is not None:
+            self.apply_endpoint_list(listed)
+
+    def withdrawn_members(self) -> MembershipState:
+        """Returns the drains and removals of the list, for a router without other sources."""
+        now = self.exchange.scheduler.unix()
+        return self.known_endpoints.withdrawals(self.withdrawals.endpoints(), now)
+
+    def current_endpoints(self) -> list[Endpoint]:
+        """Returns the endpoints without those that only the other process was told to remove."""
+        endpoints = map(self.withdrawals.withdrawn, self.endpoints.values())
+        return [each for each in endpoints if each.member.state is not MemberState.REMOVED]
+
+    def withdraw(self, endpoints: Iterable[Endpoint], number: int) -> None:
+        """Withdraws members of which the other process was told that they drain or are removed.
+
+        Args:
+            endpoints: The members, as draining or removed.
+            number: The number of the event that told it; 0 if the other process has other numbers.
+        """
+        if NO_COMMON_NUMBER < number <= self.last_number:
+            return
+        if number == NO_COMMON_NUMBER:
+            endpoints = [each for each in endpoints if not self.is_replaced(each)]
+        withdrawn = list(map(self.as_withdrawn, endpoints))
+        for endpoint in withdrawn:
+            self.withdrawals.add(endpoint, number)
+        if withdrawn:
+            self.try_to_apply_changes(withdrawn)
+
+    def as_withdrawn(self, endpoint: Endpoint) -> Endpoint:
+        """Returns a withdrawn endpoint with the fields of the own one of the same id, if there is one."""
+        own = self.endpoints.get(endpoint.member.name)
+        if own is None:
+            return endpoint
+        return with_state(own, endpoint.member.state or MemberState.READY)
+
+    def is_replaced(self, endpoint: Endpoint) -> bool:
+        """Returns whether the own endpoint of the same id started after a withdrawn one."""
+        own = self.endpoints.get(endpoint.member.name)
+        if own is None or endpoint.address == UNKNOWN_ADDRESS:
+            return False
+        return (own.member.started or 0.0) > (endpoint.member.started or 0.0)
+
+    def revoke_withdrawals(self, endpoints: Iterable[Endpoint]) -> None:
+        """Puts members back in service of which the other process was told so."""
+        returned = []
+        for endpoint in endpoints:
+            name = endpoint.member.name
+            if self.withdrawals.revoke(name):
+                returned.append(self.endpoints.setdefault(name, endpoint))
+        if returned:
+            self.try_to_apply_changes(returned)
+
+    def try_to_apply_changes(self, endpoints: Iterable[Endpoint]) -> None:
+        """Applies endpoints that the other process was told of."""
+        listed = EndpointList(self.last_number, False, tuple(endpoints))
+        try:
+            self.on_endpoint_list(listed)
+        except Exception as error:  # error boundary of one message: the link to that process stays open
+            self.report.failed(error)
+            apply_one_by_one(self.pool, self.exchange, listed.endpoints)
+
     def check_inherited_number(self, number: int) -> None:
         """Returns to this process's own number if the source does not count as the predecessor did.
 
@@ -135,7 +231,7 @@
                     why=event.unusable_reason,
                 )
             self.counters.add("unusable_endpoints", event.unusable_count - 1)
-        self.on_endpoint_list(event)
+        self.on_endpoint_list(self.withdrawals.apply_to(event))
         self.update_endpoints(event)
         self.counters.add("endpoint_lists")
 
@@ -150,24 +246,25 @@
 
     def handle_new(self, event: EndpointList | PurgeEvent | UnusableLine, number: int) -> None:
         """Handles a new event of the source. Raises `EndpointWatchError` if it must be requested again."""
+        self.last_changes = ()
         super().handle_new(event, number)
         if not isinstance(event, UnusableLine):
-            self.on_new_event(event)
+            self.on_new_event(event, self.last_changes)
 
     def update_endpoints(self, item: EndpointList) -> None:
         """Updates the endpoints from a list or its changes."""
-        drained = [
-            replace(known, member=replace(known.member, state=MemberState.DRAINING))
-            for known in map(self.endpoints.get, item.draining_ids)
-            if known is not None
-        ]
-        if item.full:
-            self.endpoints.clear()
-        for endpoint in (*item.endpoints, *drained):
-            if endpoint.member.state is MemberState.REMOVED:
-                self.endpoints.pop(endpoint.member.name, None)
-            else:
-                self.endpoints[endpoint.member.name] = endpoint
+        now = self.exchange.scheduler.unix()
+        self.last_changes = self.known_endpoints.update(item, self.is_only_source, now)
+
+    @property
+    def endpoints(self) -> dict[str, Endpoint]:
+        """The endpoints as the list has them, by id."""
+        return self.known_endpoints.listed
+
+    @property
+    def is_only_source(self) -> bool:
+        """Whether lists are applied directly, and not reported to a membership."""
+        return self.on_endpoint_list == self.apply_endpoint_list
 
     def apply_endpoint_list(self, item: EndpointList) -> None:
         """Applies a list directly to the pool and the exchange, for a router without other sources.
@@ -183,8 +280,7 @@
         if isinstance(event, EndpointList):
             self.update_endpoints(event)
             listed = [*event.endpoints, *self.as_draining(event.draining_ids)]
-            has_other_sources = self.on_endpoint_list != self.apply_endpoint_list
-            if has_other_sources:  # then only the membership may add members
+            if not self.is_only_source:  # then only the membership may add members
                 listed = [entry for entry in listed if entry.member.state is not MemberState.READY]
             apply_one_by_one(self.pool, self.exchange, listed)
 
@@ -194,7 +290,11 @@
             member = self.exchange.members.get(name)
             instance = self.pool.instances.get(name)
             if member is not None and instance is not None:
-                yield Endpoint(replace(member, state=MemberState.DRAINING), instance.address)
+                yield with_state(Endpoint(member, instance.address), MemberState.DRAINING)
+
+
+def ignore_event(event: EndpointList | PurgeEvent, changes: tuple[Endpoint, ...]) -> None:
+    """Ignores an event."""
 
 
 def apply_one_by_one(pool: ConnectionPool, exchange: Exchange, listed: Iterable[Endpoint]) -> set[str]:
--- a/paddlequay/net/endpoints/member_changes.py
+++ b/paddlequay/net/endpoints/member_changes.py
@@ -9,8 +9,8 @@
 from paddlequay.observability import log
 from paddlequay.observability.counters import Counters
 from paddlequay.protocol.endpoint_watch import Endpoint
+from paddlequay.protocol.membership_records import endpoint_of
 from paddlequay.requests.exchange import Exchange
-from paddlequay.routing.interface import Member
 
 LOGGER = logging.getLogger(__name__)
 
@@ -40,7 +40,7 @@
             return False
         due = list(self.pending.values())
         self.pending = {}
-        failed = self.announce(tuple(map(endpoint_of, due)))
+        failed = self.announce(tuple(endpoint_of(change.member) for change in due))
         if failed:
             self.pending = {change.member.id: change for change in due if change.member.id in failed}
         for change in due:
@@ -76,20 +76,3 @@
             rule=change.rule,
             why=change.reason,
         )
-
-
-def endpoint_of(change: MembershipChange) -> Endpoint:
-    """Returns the changed member as an endpoint."""
-    member = change.member
-    return Endpoint(
-        Member(
-            member.id,
-            member.zone,
-            member.kind,
-            member.cell,
-            member.state,
-            member.weight,
-            member.started or 0.0,
-        ),
-        member.address,
-    )
--- a/paddlequay/net/endpoints/members.py
+++ b/paddlequay/net/endpoints/members.py
@@ -7,6 +7,7 @@
 from dataclasses import replace
 
 from paddlequay.discovery.explanation import explain, membership_page
+from paddlequay.discovery.inheritance import export_state, inherit_state
 from paddlequay.discovery.membership import Membership
 from paddlequay.discovery.reconfiguration import with_sources
 from paddlequay.discovery.reports import MembershipChange, TooManyMembersError
@@ -18,16 +19,16 @@
 from paddlequay.net.upstreams.pool import ConnectionPool
 from paddlequay.observability import log
 from paddlequay.observability.counters import Counters
-from paddlequay.protocol.endpoint_watch import Endpoint, EndpointList
+from paddlequay.protocol.endpoint_watch import EndpointList
+from paddlequay.protocol.membership_records import reported_member
 from paddlequay.requests.exchange import Exchange
 from paddlequay.routing.interface import MemberState
-from paddlequay.routing.membership_state import ReportedMember
+from paddlequay.routing.membership_state import LIST_SOURCE, MembershipState, ReportedMember
 from paddlequay.schema.discovery import DiscoverySettings
 
 LOGGER = logging.getLogger(__name__)
 
 # The names of the sources in the settings.
-LIST_SOURCE = "list"
 DNS_SOURCE = "dns"
 SAVED_SOURCE = "kept"
 
@@ -69,6 +70,8 @@
         self.background = TaskSupervisor(counters)
         endpoint_watch.on_endpoint_list = self.on_endpoint_list
         endpoint_watch.on_heartbeat = self.on_heartbeat
+        endpoint_watch.on_inherited = self.inherit
+        endpoint_watch.export_members = self.export_members
         self.recover()
 
     def now(self) -> float:
@@ -136,6 +139,61 @@
         ]
         self.report(LIST_SOURCE, [*map(reported_member, item.endpoints), *drained], item.full)
 
+    def export_members(self) -> MembershipState:
+        """Returns what the sources have told, for a successor."""
+        return export_state(self.membership)
+
+    def inherit(self, listed: EndpointList | None, state: MembershipState) -> None:
+        """Takes over what the predecessor was told.
+
+        Args:
+            listed: The predecessor's endpoint list; None if that of this process is later, or if the events
+                of the two processes have different numbers.
+            state: What the predecessor's sources have told.
+        """
+        later_sources = {LIST_SOURCE} if listed is None else set()
+        dns = self.membership.sources.get(DNS_SOURCE)
+        if dns is not None and dns.has_reported:
+            later_sources.add(DNS_SOURCE)
+        heard = dict(state.last_heard_at)
+        now = self.now()
+        if heard:
+            # A membership in service knows better than the saved members of a process that has started.
+            heard = {SAVED_SOURCE: now} | heard
+        known = replace(state, last_heard_at=tuple(heard.items()))
+        self.apply(inherit_state(self.membership, known, now, later_sources))
+        if listed is not None and LIST_SOURCE not in heard:
+            self.inherit_list(listed)
+        if state.record_count:
+            self.log_inherited(state)
+
+    def inherit_list(self, listed: EndpointList) -> None:
+        """Takes over the list of a predecessor without a membership.
+
+        What the list lacks, the predecessor was told to remove.
+        """
+        if not self.has_source(LIST_SOURCE):
+            return
+        names = {endpoint.member.name for endpoint in listed.endpoints}
+        reports = self.membership.sources[LIST_SOURCE].reports
+        removed = [report.as_removed().member for id, report in reports.items() if id not in names]
+        self.report(LIST_SOURCE, [*removed, *map(reported_member, listed.endpoints)], False)
+
+    def log_inherited(self, state: MembershipState) -> None:
+        """Logs how much of what kind the predecessor has handed over."""
+        states = [record.member.state for record in state.reports]
+        log.event(
+            LOGGER,
+            logging.INFO,
+            "members_inherited",
+            sources=",".join(name for name, _ in state.last_heard_at) or "none",
+            ready=states.count(MemberState.READY),
+            draining=states.count(MemberState.DRAINING),
+            removed=states.count(MemberState.REMOVED),
+            omitted=sum(record.missing_since is not None for record in state.reports),
+            flapping=len(state.flaps),
+        )
+
     def on_heartbeat(self) -> None:
         """Reports a heartbeat of the endpoint list to the membership."""
         if self.has_source(LIST_SOURCE):
@@ -205,18 +263,3 @@
     def explain(self, id: str) -> str:
         """Returns the reports on a member and the rule that decided on it, for `GET /-/members/ID`."""
         return "\n".join(explain(self.membership, id, self.now()))
-
-
-def reported_member(listed: Endpoint) -> ReportedMember:
-    """Returns an endpoint as a reported member."""
-    member = listed.member
-    return ReportedMember(
-        member.name,
-        listed.address,
-        member.kind,
-        member.zone,
-        member.cell,
-        member.weight,
-        member.started,
-        member.state or MemberState.READY,
-    )
--- a/paddlequay/net/hot_restart.py
+++ b/paddlequay/net/hot_restart.py
@@ -83,8 +83,11 @@
         events = self.owner.events
         sequence = "" if events is None else events.sequence
         executed_ids = self.owner.executed_ids.recent()
-        state = wire.StateMessage(operator_state.overrides, known_ids, learned, sequence, executed_ids)
-        self.send(state)
+        self.send(
+            wire.StateMessage(
+                operator_state.overrides, known_ids, learned, sequence, executed_ids, exchanges_members=True
+            )
+        )
         try:
             while True:
                 data = await self.stream.read_bytes(self.owner.limits.read_size, partial=True)
@@ -117,6 +120,10 @@
                 events.receive_known(message)
             case wire.NewEvent() if events is not None:
                 events.receive_new(message.event)
+            case wire.InheritedMembers() if events is not None:
+                events.receive_members(message)
+            case wire.ListChanges() if events is not None:
+                events.receive_changes(message)
             case wire.OverrideMessage():
                 operator_state.apply(message.name, message.override)
                 self.owner.counters.add("overrides_from_other_process")
@@ -146,7 +153,9 @@
             self.owner.on_inherited_state(message.state)
         if self.owner.events is not None:
             to_successor = self is self.owner.successor
-            self.owner.events.open(self, message.event_sequence, to_successor=to_successor)
+            self.owner.events.open(
+                self, message.event_sequence, to_successor, exchanges_members=message.exchanges_members
+            )
         self.state_received.set()
 
     async def relay(self, message: wire.OverrideMessage) -> None:
--- a/paddlequay/protocol/endpoint_watch.py
+++ b/paddlequay/protocol/endpoint_watch.py
@@ -18,6 +18,7 @@
 MAX_NUMBER = 1 << 53
 MS_PER_S = 1000.0
 MAX_PORT = 65_535
+UNKNOWN_ADDRESS = ("", 0)  # of a removed endpoint, whose entry needs no address
 MAX_OCTET = 255
 # The parts of invalid input that error messages quote.
 MAX_QUOTED_CHARS = 40
@@ -151,7 +152,7 @@
     if state is None:
         raise EndpointWatchError(f"lifecycle: {str(lifecycle)[:MAX_QUOTED_CHARS]!r} is not known")
     if state is MemberState.REMOVED:
-        return Endpoint(Member(name=name, state=state), ("", 0))  # the other fields are not needed
+        return Endpoint(Member(name=name, state=state), UNKNOWN_ADDRESS)  # the other fields are not needed
     zone = item.get("zone")
     kind = item.get("machineType")
     cell = item.get("cell")
--- a/paddlequay/protocol/hot_restart.py
+++ b/paddlequay/protocol/hot_restart.py
@@ -9,7 +9,15 @@
 from paddlequay.lifecycle.operator_state import Override, read_overrides
 from paddlequay.protocol.endpoint_watch import EndpointList, PurgeEvent, is_number
 from paddlequay.protocol.known_events import format_event, parse_known_event
+from paddlequay.protocol.membership_records import (
+    format_member,
+    format_state,
+    parse_member,
+    parse_state,
+    records,
+)
 from paddlequay.requests.quotas import QuotaInUse
+from paddlequay.routing.membership_state import MembershipState, ReportedMember
 
 MAX_QUOTED_LINE_BYTES = 80  # the part of an invalid line that an error message quotes
 
@@ -25,6 +33,7 @@
     `event_sequence` identifies the numbering of the sender's endpoint events; it is empty if the sender, a
     process of an earlier version, exchanges no events. `executed_ids` are the ids of requests that must not
     be executed again; None if the sender, a process of an earlier version, exchanges no ids.
+    `exchanges_members` tells whether the sender understands `InheritedMembers` and `ListChanges`.
     """
 
     overrides: dict[str, Override]
@@ -32,6 +41,7 @@
     state: dict[str, float]
     event_sequence: str = ""
     executed_ids: tuple[str, ...] | None = None
+    exchanges_members: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,6 +85,29 @@
     event: EndpointList | PurgeEvent
 
 
+@dataclass(frozen=True, slots=True)
+class InheritedMembers:
+    """A part of what the predecessor's sources have told; complete with the last part of its `KnownEvents`.
+
+    `number` is that of the predecessor's last event; 0 if its numbers are not those of the successor.
+    """
+
+    number: int
+    state: MembershipState
+
+
+@dataclass(frozen=True, slots=True)
+class ListChanges:
+    """Members as an event of the sender's endpoint list has changed them.
+
+    Sent where the event itself cannot be: it is too large, or `number`, that of the event, is 0, as the
+    sender's numbers are not those of the receiver.
+    """
+
+    number: int
+    members: tuple[ReportedMember, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class RequestExecuted:
     """Reports that an attempt of a request that is not idempotent was written; `id` is the request's id."""
@@ -86,6 +119,8 @@
     StateMessage
     | KnownEvents
     | NewEvent
+    | InheritedMembers
+    | ListChanges
     | OverrideMessage
     | OverrideConfirmed
     | SuccessorReady
@@ -98,16 +133,7 @@
     """Returns a message as a line. Its keys must not change, as processes of other versions read them."""
     match message:
         case StateMessage():
-            overrides = {name: [each.issued_ns, each.active] for name, each in message.overrides.items()}
-            data: dict[str, Any] = {
-                "state": overrides,
-                "listed": message.known_ids,
-                "knowledge": message.state,
-            }
-            if message.event_sequence:
-                data["sequence"] = message.event_sequence
-            if message.executed_ids is not None:
-                data["executed"] = message.executed_ids
+            data = format_state_message(message)
         case KnownEvents():
             data = {
                 "known": message.number,
@@ -116,6 +142,10 @@
             }
         case NewEvent():
             data = {"event": format_event(message.event)}
+        case InheritedMembers():
+            data = {"membership": message.number, **format_state(message.state)}
+        case ListChanges():
+            data = {"told": message.number, "members": [format_member(each) for each in message.members]}
         case OverrideMessage():
             override = [message.override.issued_ns, message.override.active]
             data = {"order": {message.name: override}, "number": message.number}
@@ -130,6 +160,19 @@
     return json.dumps(data, separators=(",", ":")).encode() + b"\n"
 
 
+def format_state_message(message: StateMessage) -> dict[str, Any]:
+    """Returns the fields of a state message; those that earlier versions lack only if they are set."""
+    overrides = {name: [each.issued_ns, each.active] for name, each in message.overrides.items()}
+    data: dict[str, Any] = {"state": overrides, "listed": message.known_ids, "knowledge": message.state}
+    if message.event_sequence:
+        data["sequence"] = message.event_sequence
+    if message.executed_ids is not None:
+        data["executed"] = message.executed_ids
+    if message.exchanges_members:
+        data["members"] = True
+    return data
+
+
 def unpack(line: bytes) -> LinkMessage:
     """Returns the message that a line holds. Raises `LinkProtocolError`."""
     try:
@@ -140,11 +183,18 @@
                 executed = others.get("executed")
                 executed_ids = tuple(map(str, executed)) if isinstance(executed, list) else None
                 known_ids = tuple(map(str, listed))
-                return StateMessage(read_overrides(overrides), known_ids, learned, sequence, executed_ids)
+                exchanges_members = others.get("members") is True
+                return StateMessage(
+                    read_overrides(overrides), known_ids, learned, sequence, executed_ids, exchanges_members
+                )
             case {"known": int(number), "items": [*items], "last": bool(is_last)} if is_number(number):
                 return KnownEvents(number, tuple(map(parse_known_event, items)), is_last)
             case {"event": dict(item)}:
                 return NewEvent(parse_known_event(item))
+            case {"membership": int(number), **fields} if is_number(number):
+                return InheritedMembers(number, parse_state(fields))
+            case {"told": int(number), **fields} if is_number(number):
+                return ListChanges(number, tuple(map(parse_member, records(fields, "members"))))
             case {"order": dict(order), "number": int(number)} if len(order) == 1:
                 ((name, override),) = read_overrides(order).items()
                 return OverrideMessage(number, name, override)
@@ -156,7 +206,7 @@
                 return SuccessorReady()
             case {"clients": int(clients), "caches": int(caches)}:
                 return QuotaInUse(clients, caches)
-    except (TypeError, ValueError) as error:  # also an `EndpointWatchError`
+    except (TypeError, ValueError) as error:  # also `EndpointWatchError` and `MembershipRecordError`
         raise LinkProtocolError(str(error)) from None
     raise LinkProtocolError(f"expected a message, got {line[:MAX_QUOTED_LINE_BYTES]!r}")
 
--- a/paddlequay/routing/membership_state.py
+++ b/paddlequay/routing/membership_state.py
@@ -11,6 +11,8 @@
 
 Address = tuple[str, int]
 
+LIST_SOURCE = "list"  # the name of the endpoint list among the sources
+
 
 @dataclass(frozen=True, slots=True)
 class ReportedMember:
--- a/tests/golden/golden_samples.py
+++ b/tests/golden/golden_samples.py
@@ -49,7 +49,13 @@
     ReplyDetail,
     Request,
 )
-from paddlequay.routing.membership_state import ReportedMember
+from paddlequay.routing.membership_state import (
+    FlapRecord,
+    MembershipState,
+    ReportedMember,
+    ReportRecord,
+    StartRecord,
+)
 from paddlequay.store.record import encode
 
 ROOT = Path(__file__).parent.parent.parent
@@ -90,6 +96,39 @@
     ]
 
 
+def member_messages() -> list[hot_restart.LinkMessage]:
+    """Returns messages on what sources of members have told, of each type on the link of a hot restart."""
+    draining = ReportedMember(
+        "edge-1", ("127.0.0.1", 6565), "box", "here", 2, 1.5, 1_764_576_000.123, MemberState.DRAINING
+    )
+    removed = ReportedMember("edge-2", ("127.0.0.2", 6566), state=MemberState.REMOVED)
+    omitted = ReportedMember("edge-3", ("127.0.0.3", 6567))
+    state = MembershipState(
+        (("list", 1_764_576_010.5), ("dns", 1_764_576_009.0)),
+        (
+            ReportRecord("list", draining, 1_764_576_001.0),
+            ReportRecord("list", removed, 1_764_576_002.0),
+            ReportRecord("dns", omitted, 1_764_576_003.0, 1_764_576_004.0),
+        ),
+        (FlapRecord(("127.0.0.4", 6568), 5.0, 1_764_576_015.0, (1_764_576_001.0, 1_764_576_002.0), False),),
+        (StartRecord("edge-3", ("127.0.0.3", 6567), 1_764_576_003.0),),
+        1_764_576_000.0,
+    )
+    return [
+        hot_restart.StateMessage({}, (), {}, "8d3f0a51c2b7e694", ("9b1f03aa5c7e2d41",), True),
+        hot_restart.InheritedMembers(42, state),
+        hot_restart.InheritedMembers(0, MembershipState()),
+        hot_restart.ListChanges(43, (draining, removed)),
+        hot_restart.ListChanges(0, (omitted,)),
+    ]
+
+
+def member_lines() -> Iterator[str]:
+    """Yields the lines on members that the link carries."""
+    for message in member_messages():
+        yield hot_restart.pack(message).decode().removesuffix("\n")
+
+
 def link_lines() -> Iterator[str]:
     """Yields the lines that the link carries."""
     for message in link_messages():
@@ -291,6 +330,7 @@
 
 SAMPLES: dict[str, Callable[[], Iterator[str]]] = {
     "link.jsonl": link_lines,
+    "link_members.jsonl": member_lines,
     "datagrams.jsonl": datagrams,
     "left_out.json": ejected_caches,
     "saved_members.json": saved_members,
--- a/tests/golden/test_golden.py
+++ b/tests/golden/test_golden.py
@@ -10,6 +10,7 @@
     OVERRIDES,
     SAMPLES,
     link_messages,
+    member_messages,
     sample_membership,
     sample_topology,
     trained_router,
@@ -39,10 +40,15 @@
     assert "".join(f"{line}\n" for line in SAMPLES[name]()) == read_sample(name)
 
 
-def test_link_messages_of_an_earlier_version_are_read_and_rewritten_unchanged() -> None:
-    lines = read_sample("link.jsonl").encode().splitlines()
+@pytest.mark.parametrize(
+    ("name", "expected"), [("link.jsonl", link_messages()), ("link_members.jsonl", member_messages())]
+)
+def test_link_messages_of_an_earlier_version_are_read_and_rewritten_unchanged(
+    name: str, expected: list[hot_restart.LinkMessage]
+) -> None:
+    lines = read_sample(name).encode().splitlines()
     messages = [hot_restart.unpack(line) for line in lines]
-    assert messages == link_messages()
+    assert messages == expected
     assert [hot_restart.pack(message) for message in messages] == [line + b"\n" for line in lines]
 
 
