Keep a removed member out when its list repeats the removal

Seen by callers: with the endpoint list and DNS as sources, requests to a cache that is gone: the list tells its removal a second time, and DNS still names its address with any change. Cause: a removal is recorded at the address that the source reported last. Told again, the member has no report any more, and the entry of a removed member has no address: the second record replaced the first one, and was at no address. Change: a repeated removal is recorded where the first one is. Result: test_a_removal_that_is_told_again_applies_where_the_member_was failed before ({'host-1': ready} in place of nothing) and passes.

--- a/paddlequay/discovery/membership.py
+++ b/paddlequay/discovery/membership.py
@@ -106,7 +106,8 @@
         touched.update(dict.fromkeys(self.index.addresses_by_id.get(member.id, ())))
         if member.state is MemberState.REMOVED:
             # A removal is recorded at the address that the source reported last.
-            last_reported = known.member if known is not None else member
+            earlier = known or self.index.removals.get((name, member.id))
+            last_reported = member if earlier is None else earlier.member
             if known is not None:
                 self.drop(known, source, touched)
             self.index.record_removal(SourceReport(last_reported, name, now).as_removed())
--- a/tests/discovery/test_membership.py
+++ b/tests/discovery/test_membership.py
@@ -57,6 +57,18 @@
     assert states_by_id(members.report("list", [reported("s-1")], False, 201.0)) == {"s-1": READY}
 
 
+def test_a_removal_that_is_told_again_applies_where_the_member_was() -> None:
+    # Guards against: a gone member that DNS still names, in service again as the list repeats its removal.
+    members = Membership(RULES)
+    members.report("dns", [reported("host-1")], True, 0.0)
+    members.report("list", [reported("s-1")], True, 0.0)
+    gone = reported("s-1", state=REMOVED, address=("", 0))  # the entry of a removed member has no address
+    for now in (1.0, 2.0, 3.0):
+        members.report("list", [gone], False, now)
+        members.report("dns", [reported("host-1", weight=now)], True, now)  # evaluates the address again
+        assert current_states(members) == {}
+
+
 def test_a_drain_applies_to_an_id_with_another_address_in_another_source() -> None:
     members = Membership(RULES)
     members.report("dns", [reported("s-1", 2)], True, 0.0)
