Apply a removal where its member was, also after its list has left it out

Seen by callers: with the endpoint list and DNS as sources, a cache that DNS names stays in service though the list tells its removal, where complete lists had left it out before and that omission was confirmed. Cause: the entry of a removed member has no address, and the report with its address was dropped with the omission. Change: the index remembers the last report on a member that its source does not report any more (20,000 at most). Result: test_a_removal_after_a_confirmed_omission_applies_where_the_member_was fails without the change ({'host-1': ready}) and passes.

--- a/paddlequay/discovery/inheritance.py
+++ b/paddlequay/discovery/inheritance.py
@@ -77,6 +77,7 @@
     """Drops the reports and removals of a source."""
     for report in source.reports.values():
         membership.detach(report, touched)
+        membership.index.remember_dropped(report)
     source.reports.clear()
     source.omissions.clear()
     removals = membership.index.removals
--- a/paddlequay/discovery/membership.py
+++ b/paddlequay/discovery/membership.py
@@ -106,7 +106,7 @@
         touched.update(dict.fromkeys(self.index.addresses_by_id.get(member.id, ())))
         if member.state is MemberState.REMOVED:
             # A removal is recorded at the address that the source reported last.
-            earlier = known or self.index.removals.get((name, member.id))
+            earlier = known or self.index.last_report_of((name, member.id))
             last_reported = member if earlier is None else earlier.member
             if known is not None:
                 self.drop(known, source, touched)
@@ -154,6 +154,7 @@
         """Drops a report. A draining member that its source no longer reports counts as removed."""
         del source.reports[report.member.id]
         self.detach(report, touched)
+        self.index.remember_dropped(report)
         if report.member.state is MemberState.DRAINING:
             self.index.record_removal(report.as_removed())
 
--- a/paddlequay/discovery/report_index.py
+++ b/paddlequay/discovery/report_index.py
@@ -10,12 +10,17 @@
 from paddlequay.routing.membership_state import Address
 
 MAX_REMOVALS = 20_000  # of all sources; the oldest are dropped
+MAX_DROPPED = 20_000  # the same for reports that are remembered for their address
 
 
 class ReportIndex:
     """The reports and removals of all sources.
 
     Removals are bounded by `MAX_REMOVALS`; the membership bounds the reports.
+
+    Attributes:
+        dropped: The last reports on members that their source does not report any more. If it removes such a
+            member later, the removal concerns the address that it reported.
     """
 
     def __init__(self, sources: Mapping[str, SourceState]) -> None:
@@ -23,6 +28,7 @@
         self.reports_by_address: dict[Address, dict[ReportKey, SourceReport]] = {}
         self.addresses_by_id: dict[str, set[Address]] = {}  # all addresses at which any source reports the id
         self.removals: OrderedDict[ReportKey, SourceReport] = OrderedDict()
+        self.dropped: OrderedDict[ReportKey, SourceReport] = OrderedDict()
         self.removals_by_address: dict[Address, dict[ReportKey, SourceReport]] = {}
 
     def attach(self, report: SourceReport) -> None:
@@ -65,6 +71,18 @@
             if not removals_here:
                 del self.removals_by_address[report.member.address]
 
+    def remember_dropped(self, report: SourceReport) -> None:
+        """Remembers the last report on a member that its source does not report any more."""
+        key = (report.source, report.member.id)
+        self.dropped[key] = report
+        self.dropped.move_to_end(key)
+        while len(self.dropped) > MAX_DROPPED:
+            self.dropped.popitem(last=False)
+
+    def last_report_of(self, key: ReportKey) -> SourceReport | None:
+        """Returns the last report on a member that its source has removed or does not report any more."""
+        return self.removals.get(key) or self.dropped.get(key)
+
     def reports_at(self, address: Address) -> list[SourceReport]:
         """Returns the reports at an address, ordered by the priority of their sources."""
         reports = self.reports_by_address.get(address, {}).values()
--- a/tests/discovery/test_membership.py
+++ b/tests/discovery/test_membership.py
@@ -69,6 +69,17 @@
         assert current_states(members) == {}
 
 
+def test_a_removal_after_a_confirmed_omission_applies_where_the_member_was() -> None:
+    # Guards against: a gone member that DNS names, as its list has left it out before it tells the removal.
+    members = Membership(RULES)
+    members.report("dns", [reported("host-1")], True, 0.0)
+    members.report("list", [reported("s-1")], True, 0.0)
+    members.report("list", [], True, 1.0)
+    assert current_states(members) == {"host-1": READY}
+    members.report("list", [reported("s-1", state=REMOVED, address=("", 0))], False, 2.0)
+    assert current_states(members) == {}
+
+
 def test_a_drain_applies_to_an_id_with_another_address_in_another_source() -> None:
     members = Membership(RULES)
     members.report("dns", [reported("s-1", 2)], True, 0.0)
