--- a/paddlequay/net/endpoints/endpoint_watch.py
+++ b/paddlequay/net/endpoints/endpoint_watch.py
@@ -144,6 +144,16 @@
         now = self.exchange.scheduler.unix()
         return self.known_endpoints.withdrawals(self.withdrawals.endpoints(), now)
 
+    def known_withdrawals(self) -> dict[int, list[Endpoint]]:
+        """Returns the drains and removals by the number of the event up to which they were told.
+
+        Those that only the other process of a hot restart was told of may have no number (0).
+        """
+        withdrawn = {self.last_number: self.known_endpoints.withdrawn()}
+        for entry in self.withdrawals.entries.values():
+            withdrawn.setdefault(entry.number, []).append(entry.endpoint)
+        return withdrawn
+
     def current_endpoints(self) -> list[Endpoint]:
         """Returns the endpoints without those that only the other process was told to remove."""
         endpoints = map(self.withdrawals.withdrawn, self.endpoints.values())
@@ -249,7 +259,7 @@
         self.last_changes = ()
         super().handle_new(event, number)
         if not isinstance(event, UnusableLine):
-            self.on_new_event(event, self.last_changes)
+            self.on_new_event(event, tuple(map(self.withdrawals.withdrawn, self.last_changes)))
 
     def update_endpoints(self, item: EndpointList) -> None:
         """Updates the endpoints from a list or its changes."""
--- a/paddlequay/net/endpoints/event_handover.py
+++ b/paddlequay/net/endpoints/event_handover.py
@@ -115,6 +115,8 @@
             self.member_links.append(link)
         if to_successor:
             self.waiting_successors.append(link)
+            if exchanges_members:
+                self.send_withdrawals(link)
             self.send_to_waiting()
         else:
             # Those of an earlier link, which ended before the last part.
@@ -147,6 +149,12 @@
             self.send_known(link)
         self.waiting_successors.clear()
 
+    def send_withdrawals(self, link: EventLink) -> None:
+        """Sends the drains and removals that this process knows, also if it does not know all events yet."""
+        has_same_numbers = link in self.links
+        for number, withdrawn in self.watch.known_withdrawals().items():
+            self.send_changes(link, number if has_same_numbers else NO_COMMON_NUMBER, withdrawn)
+
     def send_known(self, link: EventLink) -> None:
         """Sends all endpoints, members and purges; no endpoints to a process with other event numbers."""
         has_same_numbers = link in self.links
@@ -239,7 +247,7 @@
             elif link in self.member_links:
                 self.send_changes(link, event.number if has_same_numbers else NO_COMMON_NUMBER, changes)
 
-    def send_changes(self, link: EventLink, number: int, changes: tuple[Endpoint, ...]) -> None:
+    def send_changes(self, link: EventLink, number: int, changes: Iterable[Endpoint]) -> None:
         """Sends the members that an event has changed."""
         for part in in_parts(map(reported_member, changes), MAX_RECORDS_PER_MESSAGE):
             link.send(ListChanges(number, part))
--- a/paddlequay/net/endpoints/known_endpoints.py
+++ b/paddlequay/net/endpoints/known_endpoints.py
@@ -83,15 +83,21 @@
             if record.source == LIST_SOURCE and record.member.state is MemberState.REMOVED:
                 self.remember_removal(record)
 
+    def withdrawn(self) -> list[Endpoint]:
+        """Returns the draining and the removed endpoints."""
+        draining = [each for each in self.listed.values() if each.member.state is MemberState.DRAINING]
+        return [*draining, *self.removed_endpoints()]
+
     def removed_endpoints(self) -> list[Endpoint]:
         """Returns the removed endpoints."""
         return [endpoint_of(record.member) for record in self.removed.values()]
 
     def withdrawals(self, further: Iterable[Endpoint], now: float) -> MembershipState:
         """Returns the drains and removals of the list and `further` ones; `now` is in Unix seconds."""
-        draining = (each for each in self.listed.values() if each.member.state is MemberState.DRAINING)
-        current = [ReportRecord(LIST_SOURCE, reported_member(each), now) for each in (*draining, *further)]
-        return MembershipState(reports=(*self.removed.values(), *current))
+        endpoints = (*self.withdrawn(), *further)
+        return MembershipState(
+            reports=tuple(ReportRecord(LIST_SOURCE, reported_member(each), now) for each in endpoints)
+        )
 
 
 def with_state(endpoint: Endpoint, state: MemberState) -> Endpoint:
--- a/paddlequay/net/endpoints/link_withdrawals.py
+++ b/paddlequay/net/endpoints/link_withdrawals.py
@@ -40,8 +40,12 @@
             self.entries.popitem(last=False)
 
     def revoke(self, name: str) -> bool:
-        """Drops the withdrawal of a member; returns whether there was one."""
-        return self.entries.pop(name, None) is not None
+        """Drops the withdrawal of a member if it has no number; returns whether it had such a one."""
+        entry = self.entries.get(name)
+        if entry is None or entry.number != NO_COMMON_NUMBER:
+            return False
+        del self.entries[name]
+        return True
 
     def forget_until(self, number: int) -> None:
         """Drops the withdrawals that events up to a number have told."""
