--- a/tests/discovery/rig_hot_restart.py
+++ b/tests/discovery/rig_hot_restart.py
@@ -123,7 +123,7 @@
         first_list: The list that the processes follow unless another one is named.
     """
 
-    def __init__(self, *names: str, discovery: str | None = LIST_ONLY, known: Any = None) -> None:
+    def __init__(self, *names: str, discovery: str | None = LIST_ONLY, **also: Any) -> None:
         self.asks: list[Ask] = []
         self.caches = {name: Cache(name, self.asks) for name in names}
         self.events: list[dict[str, Any]] = []
@@ -135,9 +135,9 @@
             with tempfile.NamedTemporaryFile("w", suffix=".txtpb", delete=False) as file:
                 file.write(discovery)
             self.discovery = Path(file.name)
-        self.known = known or self.known_events()
+        self.known = self.known_events()
         self.stop_load = threading.Event()
-        super().__init__(known=self.known, bulletin=self.first_list.address)
+        super().__init__(known=self.known, bulletin=self.first_list.address, **also)
         self.ready()
 
     def new_list(self) -> EventList:
