Report the whole endpoint list when SIGHUP makes it a source of members

Seen by callers: a router with DNS alone gets the endpoint list as a source by SIGHUP: none of the list's members are in service, and members that it has removed stay, until the list tells itself whole again, which a running list does not. Cause: the membership hears of a list only with its events; those from before SIGHUP were not reported to it. Change: the watch reports its endpoints and the removed ones when the list becomes a source. Result: test_a_list_that_becomes_a_source_counts_with_all_that_it_has_told failed before (not within 5 s) and passes.

--- a/paddlequay/net/endpoints/endpoint_watch.py
+++ b/paddlequay/net/endpoints/endpoint_watch.py
@@ -154,6 +154,11 @@
             withdrawn.setdefault(entry.number, []).append(entry.endpoint)
         return withdrawn
 
+    def whole_list(self) -> EndpointList:
+        """Returns all that the list has told, with the endpoints that it has removed."""
+        endpoints = (*self.current_endpoints(), *self.known_endpoints.removed_endpoints())
+        return EndpointList(self.last_number, True, endpoints)
+
     def current_endpoints(self) -> list[Endpoint]:
         """Returns the endpoints without those that only the other process was told to remove."""
         endpoints = map(self.withdrawals.withdrawn, self.endpoints.values())
--- a/paddlequay/net/endpoints/members.py
+++ b/paddlequay/net/endpoints/members.py
@@ -246,6 +246,7 @@
         before and after are not announced again, so that their connections stay open.
         """
         membership, changes = with_sources(self.membership, settings.rules, settings.limits, self.now())
+        has_new_list = not self.has_source(LIST_SOURCE)
         dns_changed = (settings.servers, settings.services) != (self.settings.servers, self.settings.services)
         self.settings = settings
         self.membership = membership
@@ -255,6 +256,8 @@
             self.dns = DnsSource(settings, self.counters, self.now)
             self.start()
         self.apply(changes)
+        if has_new_list:
+            self.on_endpoint_list(self.endpoint_watch.whole_list())
 
     def page(self) -> str:
         """Returns the sources and members as one line of JSON, for `GET /-/members`."""
--- a/tests/discovery/test_member_handover_sources.py
+++ b/tests/discovery/test_member_handover_sources.py
@@ -132,6 +132,25 @@
         }
 
 
+def test_a_list_that_becomes_a_source_counts_with_all_that_it_has_told(zone: DnsZone) -> None:
+    # Guards against: a list without members until it tells itself whole again, and its removals unknown.
+    text = settings_for(zone).replace("  source { type: BULLETIN }\n", "")
+    names = ("box-1", "box-2", "parent-1", "origin-1")
+    with restarted_router(*names, discovery=text) as router:
+        publish_in_dns(zone, router, "box-1", "box-2")
+        until(lambda: len(router.states()) == 2, "DNS's boxes are members")
+        router.remove("box-1")
+        time.sleep(0.3)
+        assert router.discovery is not None
+        router.discovery.write_text(settings_for(zone))
+        os.kill(router.process.pid, signal.SIGHUP)
+        expected = {"box-2", "parent-1", "origin-1"}
+        until(lambda: router.states().keys() == expected, "the list's members")
+        router.first_list.go_down()
+        replace_process(router)
+        assert router.states().keys() == expected
+
+
 def reload_sources(router: RestartedRouter, text: str) -> None:
     """Changes the sources of the newest process, and waits until they are in force."""
     assert router.discovery is not None
