Give the receipt of withdrawals a module of its own

Change: WithdrawalReceiver applies what the other process was told; EndpointWatch keeps to its list. inherit_state in two steps. No behaviour is changed.

--- a/paddlequay/discovery/inheritance.py
+++ b/paddlequay/discovery/inheritance.py
@@ -51,14 +51,7 @@
     }
     if state.first_report_at is not None:
         membership.start_times.first_report_at = min(state.first_report_at, now)
-    replaced = set()
-    for name, last_heard_at in state.last_heard_at:
-        source = membership.sources.get(name)
-        if source is not None and name not in later_sources:
-            forget_reports(membership, source, touched)
-            source.last_heard_at = min(last_heard_at, now)
-            source.has_reported = True
-            replaced.add(name)
+    replaced = replace_sources(membership, state, now, later_sources, touched)
     for record in state.reports:
         source = membership.sources.get(record.source)
         if source is not None and record.source in replaced:
@@ -73,6 +66,25 @@
     return [*removed, *changes]
 
 
+def replace_sources(
+    membership: Membership,
+    state: MembershipState,
+    now: float,
+    later_sources: Collection[str],
+    touched: Touched,
+) -> set[str]:
+    """Drops the own reports of the sources that the state replaces; returns the names of these sources."""
+    replaced = set()
+    for name, last_heard_at in state.last_heard_at:
+        source = membership.sources.get(name)
+        if source is not None and name not in later_sources:
+            forget_reports(membership, source, touched)
+            source.last_heard_at = min(last_heard_at, now)
+            source.has_reported = True
+            replaced.add(name)
+    return replaced
+
+
 def forget_reports(membership: Membership, source: SourceState, touched: Touched) -> None:
     """Drops the reports and removals of a source."""
     for report in source.reports.values():
--- a/paddlequay/net/endpoints/endpoint_watch.py
+++ b/paddlequay/net/endpoints/endpoint_watch.py
@@ -7,7 +7,7 @@
 from paddlequay.config.limits import Limits
 from paddlequay.config.values import Address
 from paddlequay.net.endpoints.known_endpoints import KnownEndpoints, with_state
-from paddlequay.net.endpoints.link_withdrawals import NO_COMMON_NUMBER, LinkWithdrawals
+from paddlequay.net.endpoints.link_withdrawals import LinkWithdrawals
 from paddlequay.net.endpoints.watch_client import WatchClient
 from paddlequay.net.endpoints.watch_connection import EventParser
 from paddlequay.net.upstreams.pool import ConnectionPool
@@ -15,7 +15,6 @@
 from paddlequay.observability.counters import Counters
 from paddlequay.protocol import endpoint_watch as wire
 from paddlequay.protocol.endpoint_watch import (
-    UNKNOWN_ADDRESS,
     Endpoint,
     EndpointList,
     PurgeEvent,
@@ -164,47 +163,6 @@
         endpoints = map(self.withdrawals.withdrawn, self.endpoints.values())
         return [each for each in endpoints if each.member.state is not MemberState.REMOVED]
 
-    def withdraw(self, endpoints: Iterable[Endpoint], number: int) -> None:
-        """Withdraws members of which the other process was told that they drain or are removed.
-
-        Args:
-            endpoints: The members, as draining or removed.
-            number: The number of the event that told it; 0 if the other process has other numbers.
-        """
-        if NO_COMMON_NUMBER < number <= self.last_number:
-            return
-        if number == NO_COMMON_NUMBER:
-            endpoints = [each for each in endpoints if not self.is_replaced(each)]
-        withdrawn = list(map(self.as_withdrawn, endpoints))
-        for endpoint in withdrawn:
-            self.withdrawals.add(endpoint, number)
-        if withdrawn:
-            self.try_to_apply_changes(withdrawn)
-
-    def as_withdrawn(self, endpoint: Endpoint) -> Endpoint:
-        """Returns a withdrawn endpoint with the fields of the own one of the same id, if there is one."""
-        own = self.endpoints.get(endpoint.member.name)
-        if own is None:
-            return endpoint
-        return with_state(own, endpoint.member.state or MemberState.READY)
-
-    def is_replaced(self, endpoint: Endpoint) -> bool:
-        """Returns whether the own endpoint of the same id started after a withdrawn one."""
-        own = self.endpoints.get(endpoint.member.name)
-        if own is None or endpoint.address == UNKNOWN_ADDRESS:
-            return False
-        return (own.member.started or 0.0) > (endpoint.member.started or 0.0)
-
-    def revoke_withdrawals(self, endpoints: Iterable[Endpoint]) -> None:
-        """Puts members back in service of which the other process was told so."""
-        returned = []
-        for endpoint in endpoints:
-            name = endpoint.member.name
-            if self.withdrawals.revoke(name):
-                returned.append(self.endpoints.setdefault(name, endpoint))
-        if returned:
-            self.try_to_apply_changes(returned)
-
     def try_to_apply_changes(self, endpoints: Iterable[Endpoint]) -> None:
         """Applies endpoints that the other process was told of."""
         listed = EndpointList(self.last_number, False, tuple(endpoints))
--- a/paddlequay/net/endpoints/event_handover.py
+++ b/paddlequay/net/endpoints/event_handover.py
@@ -17,6 +17,7 @@
 
 from paddlequay.net.endpoints.endpoint_watch import EndpointWatch
 from paddlequay.net.endpoints.link_withdrawals import NO_COMMON_NUMBER
+from paddlequay.net.endpoints.withdrawal_receiver import WithdrawalReceiver
 from paddlequay.observability import log
 from paddlequay.protocol.endpoint_watch import Endpoint, EndpointList, PurgeEvent
 from paddlequay.protocol.hot_restart import (
@@ -65,6 +66,7 @@
         read_known: Returns the known events of the configuration as last read.
 
     Attributes:
+        receiver: Applies the withdrawals of members that other processes were told of.
         purge_links: The links to all processes that exchange events; purges hold in any order.
         links: The links to processes whose events have the numbers of this process's events.
         member_links: The links to processes that exchange what sources of members have told.
@@ -78,6 +80,7 @@
 
     def __init__(self, watch: EndpointWatch, read_known: Callable[[], Mapping[str, Any]]) -> None:
         self.watch = watch
+        self.receiver = WithdrawalReceiver(watch)
         self.read_known = read_known
         self.purge_links: list[EventLink] = []
         self.links: list[EventLink] = []
@@ -188,7 +191,7 @@
             for record in message.state.reports
             if record.source == LIST_SOURCE and record.is_withdrawal
         )
-        self.watch.withdraw(withdrawn, message.number)
+        self.receiver.withdraw(withdrawn, message.number)
 
     def receive_known(self, message: KnownEvents) -> None:
         """Applies the predecessor's known events once all parts are there."""
@@ -263,7 +266,7 @@
             self.watch.last_number = event.number
         elif isinstance(event, EndpointList):
             draining = self.watch.as_draining(event.draining_ids)
-            self.watch.withdraw((*withdrawn_among(event.endpoints), *draining), event.number)
+            self.receiver.withdraw((*withdrawn_among(event.endpoints), *draining), event.number)
 
     def receive_changes(self, message: ListChanges) -> None:
         """Applies the withdrawals of members, and their revocation by a process with other numbers.
@@ -271,10 +274,10 @@
         Where the numbers are the same, the watch delivers the event itself.
         """
         endpoints = [endpoint_of(member) for member in message.members]
-        self.watch.withdraw(withdrawn_among(endpoints), message.number)
+        self.receiver.withdraw(withdrawn_among(endpoints), message.number)
         if message.number == NO_COMMON_NUMBER:
             ready = [each for each in endpoints if each.member.state is MemberState.READY]
-            self.watch.revoke_withdrawals(ready)
+            self.receiver.revoke(ready)
 
 
 def withdrawn_among(endpoints: Iterable[Endpoint]) -> list[Endpoint]:
--- a/tests/discovery/test_member_handover_model.py
+++ b/tests/discovery/test_member_handover_model.py
@@ -27,8 +27,8 @@
     unlink,
 )
 
-from paddlequay.net.endpoints.endpoint_watch import EndpointWatch
 from paddlequay.net.endpoints.members import DNS_SOURCE, MemberSources
+from paddlequay.net.endpoints.withdrawal_receiver import WithdrawalReceiver
 from paddlequay.protocol.endpoint_watch import EndpointList
 from paddlequay.protocol.hot_restart import KnownEvents, LinkMessage
 from paddlequay.routing.interface import MemberState
@@ -319,7 +319,7 @@
             sources.on_endpoint_list(listed)
 
     monkeypatch.setattr(MemberSources, "inherit", inherit_list_alone)
-    monkeypatch.setattr(EndpointWatch, "withdraw", lambda *_: None)
+    monkeypatch.setattr(WithdrawalReceiver, "withdraw", lambda *_: None)
     first_failure = settings(
         max_examples=300, stateful_step_count=30, deadline=None, derandomize=True, phases=[Phase.generate]
     )
