Close the connections of the restart rig, and wait in the harness without select

Change: the rig closes them; the harness asks with poll, which has no such limit. No check is changed.

--- a/tests/discovery/rig_hot_restart.py
+++ b/tests/discovery/rig_hot_restart.py
@@ -113,6 +113,8 @@
     def close(self) -> None:
         self.go_down()
         self.listener.close()
+        for connection in self.connections:
+            connection.close()
 
 
 class RestartedRouter(Platform):
@@ -247,10 +249,19 @@
             each.close()
         for cache in self.caches.values():
             cache.listener.close()
+            while not cache.accepted.empty():
+                close_connection(cache.accepted.get())
         if self.discovery is not None:
             self.discovery.unlink()
 
 
+def close_connection(connection: socket.socket) -> None:
+    """Ends a connection, so that the thread that reads from it ends as well."""
+    with contextlib.suppress(OSError):
+        connection.shutdown(socket.SHUT_RDWR)
+    connection.close()
+
+
 @contextlib.contextmanager
 def restarted_router(*names: str, **also: Any) -> Any:
     """Starts a router, and ends all of its processes."""
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -122,7 +122,9 @@
 
     def answered(self) -> bool:
         """Whether something has come that was not read yet."""
-        return bool(self.buffer or select.select([self.socket], [], [], 0)[0])
+        readable = select.poll()  # `select` refuses descriptors above 1,023
+        readable.register(self.socket, select.POLLIN)
+        return bool(self.buffer or readable.poll(0))
 
     def answer(self) -> Any:
         """The next answer; None when the connection was closed."""
