--- a/paddlequay/net/endpoints/endpoint_watch.py
+++ b/paddlequay/net/endpoints/endpoint_watch.py
@@ -21,9 +21,10 @@
     UnusableLine,
     WatchHeartbeat,
 )
+from paddlequay.protocol.membership_records import reported_member
 from paddlequay.requests.exchange import Exchange
 from paddlequay.routing.interface import MemberState
-from paddlequay.routing.membership_state import MembershipState
+from paddlequay.routing.membership_state import LIST_SOURCE, MembershipState, ReportRecord
 
 LOGGER = logging.getLogger(__name__)
 
@@ -141,7 +142,9 @@
     def withdrawn_members(self) -> MembershipState:
         """Returns the drains and removals of the list, for a router without other sources."""
         now = self.exchange.scheduler.unix()
-        return self.known_endpoints.withdrawals(self.withdrawals.endpoints(), now)
+        withdrawn = (*self.known_endpoints.withdrawn(), *self.withdrawals.endpoints())
+        records = (ReportRecord(LIST_SOURCE, reported_member(each), now) for each in withdrawn)
+        return MembershipState(reports=tuple(records))
 
     def known_withdrawals(self) -> dict[int, list[Endpoint]]:
         """Returns the drains and removals by the number of the event up to which they were told.
@@ -155,7 +158,7 @@
 
     def whole_list(self) -> EndpointList:
         """Returns all that the list has told, with the endpoints that it has removed."""
-        endpoints = (*self.current_endpoints(), *self.known_endpoints.removed_endpoints())
+        endpoints = (*self.current_endpoints(), *self.known_endpoints.removed.values())
         return EndpointList(self.last_number, True, endpoints)
 
     def current_endpoints(self) -> list[Endpoint]:
@@ -226,8 +229,7 @@
 
     def update_endpoints(self, item: EndpointList) -> None:
         """Updates the endpoints from a list or its changes."""
-        now = self.exchange.scheduler.unix()
-        self.last_changes = self.known_endpoints.update(item, self.is_only_source, now)
+        self.last_changes = self.known_endpoints.update(item, self.is_only_source)
 
     @property
     def endpoints(self) -> dict[str, Endpoint]:
--- a/paddlequay/net/endpoints/event_handover.py
+++ b/paddlequay/net/endpoints/event_handover.py
@@ -168,7 +168,7 @@
                 link.send(InheritedMembers(number, state))
         elif has_same_numbers:
             # An earlier version takes members that a list merely lacks for omitted by mistake.
-            endpoints += self.watch.known_endpoints.removed_endpoints()
+            endpoints += self.watch.known_endpoints.removed.values()
         for part in in_parts(endpoints, MAX_ENDPOINTS_PER_MESSAGE):
             link.send(KnownEvents(number, (EndpointList(number, True, part),), is_last=False))
         for purges in in_parts(self.watch.remembered_purges(), MAX_PURGES_PER_MESSAGE):
--- a/paddlequay/net/endpoints/known_endpoints.py
+++ b/paddlequay/net/endpoints/known_endpoints.py
@@ -5,9 +5,9 @@
 from dataclasses import replace
 
 from paddlequay.protocol.endpoint_watch import Endpoint, EndpointList
-from paddlequay.protocol.membership_records import endpoint_of, reported_member
+from paddlequay.protocol.membership_records import endpoint_of
 from paddlequay.routing.interface import MemberState
-from paddlequay.routing.membership_state import LIST_SOURCE, MembershipState, ReportRecord
+from paddlequay.routing.membership_state import LIST_SOURCE, MembershipState
 
 MAX_REMOVED = 4_000  # removed endpoints that are remembered; the oldest are dropped
 
@@ -17,21 +17,20 @@
 
     Attributes:
         listed: The endpoints by id.
-        removed: The removals of endpoints that are not listed again, by id; at most `MAX_REMOVED`.
+        removed: The removed endpoints that are not listed again, by id; at most `MAX_REMOVED`.
     """
 
     def __init__(self) -> None:
         self.listed: dict[str, Endpoint] = {}
-        self.removed: OrderedDict[str, ReportRecord] = OrderedDict()
+        self.removed: OrderedDict[str, Endpoint] = OrderedDict()
 
-    def update(self, item: EndpointList, omissions_are_removals: bool, now: float) -> tuple[Endpoint, ...]:
+    def update(self, item: EndpointList, omissions_are_removals: bool) -> tuple[Endpoint, ...]:
         """Applies a list or its changes.
 
         Args:
             item: The list or its changes.
             omissions_are_removals: Whether members that a complete list omits are removed; else that is
                 decided elsewhere, unless they were draining.
-            now: The time in Unix seconds.
 
         Returns:
             The changed endpoints; those that were removed have the state `REMOVED` and their address.
@@ -48,14 +47,14 @@
                     changed.append(with_state(omitted, MemberState.REMOVED))
                 else:
                     del self.listed[omitted.member.name]
-        return tuple(self.update_endpoint(endpoint, now) for endpoint in changed)
+        return tuple(map(self.update_endpoint, changed))
 
     def omitted_by(self, endpoints: Iterable[Endpoint]) -> list[Endpoint]:
         """Returns the listed endpoints that are not among these."""
         names = {endpoint.member.name for endpoint in endpoints}
         return [known for name, known in self.listed.items() if name not in names]
 
-    def update_endpoint(self, endpoint: Endpoint, now: float) -> Endpoint:
+    def update_endpoint(self, endpoint: Endpoint) -> Endpoint:
         """Updates one endpoint and returns it; a removed one has the address that it was listed with."""
         name = endpoint.member.name
         if endpoint.member.state is not MemberState.REMOVED:
@@ -66,14 +65,14 @@
         if known is not None:
             endpoint = with_state(known, MemberState.REMOVED)
         if known is not None or name not in self.removed:
-            self.remember_removal(ReportRecord(LIST_SOURCE, reported_member(endpoint), now))
+            self.remember_removal(endpoint)
         return endpoint
 
-    def remember_removal(self, record: ReportRecord) -> None:
-        """Remembers the removal of a member that is not listed."""
-        if record.member.id in self.listed:
+    def remember_removal(self, endpoint: Endpoint) -> None:
+        """Remembers a removed endpoint unless its id is listed."""
+        if endpoint.member.name in self.listed:
             return
-        self.removed[record.member.id] = record
+        self.removed[endpoint.member.name] = endpoint
         while len(self.removed) > MAX_REMOVED:
             self.removed.popitem(last=False)
 
@@ -81,23 +80,12 @@
         """Remembers the removals of the list that a predecessor was told of."""
         for record in state.reports:
             if record.source == LIST_SOURCE and record.member.state is MemberState.REMOVED:
-                self.remember_removal(record)
+                self.remember_removal(endpoint_of(record.member))
 
     def withdrawn(self) -> list[Endpoint]:
         """Returns the draining and the removed endpoints."""
         draining = [each for each in self.listed.values() if each.member.state is MemberState.DRAINING]
-        return [*draining, *self.removed_endpoints()]
-
-    def removed_endpoints(self) -> list[Endpoint]:
-        """Returns the removed endpoints."""
-        return [endpoint_of(record.member) for record in self.removed.values()]
-
-    def withdrawals(self, further: Iterable[Endpoint], now: float) -> MembershipState:
-        """Returns the drains and removals of the list and `further` ones; `now` is in Unix seconds."""
-        endpoints = (*self.withdrawn(), *further)
-        return MembershipState(
-            reports=tuple(ReportRecord(LIST_SOURCE, reported_member(each), now) for each in endpoints)
-        )
+        return [*draining, *self.removed.values()]
 
 
 def with_state(endpoint: Endpoint, state: MemberState) -> Endpoint:
--- a/tests/discovery/test_member_handover_sources.py
+++ b/tests/discovery/test_member_handover_sources.py
@@ -100,7 +100,9 @@
         kept = [router.listed(name) for name in ALL if name not in ("box-1", "box-2")]
         router.publish_list(*kept, reset=True)  # omits another one
         until(lambda: not router.states().keys() & {"box-1", "box-2", "box-9"}, "they are out")
-        saved.write_bytes(older_file)
+        time.sleep(SAVE_INTERVAL_S)
+        until(lambda: b"box-9" not in saved.read_bytes(), "their removal is saved")
+        saved.write_bytes(older_file)  # no later save replaces it, as nothing changes any more
         router.first_list.go_down()
         replace_process(router)
         assert router.states().keys() == set(ALL) - {"box-1", "box-2"}
--- a/tests/race_conditions/rig_endpoints.py
+++ b/tests/race_conditions/rig_endpoints.py
@@ -8,7 +8,6 @@
 
 from paddlequay.config.limits import Limits
 from paddlequay.net.endpoints.endpoint_watch import EndpointWatch
-from paddlequay.net.scheduler import LoopScheduler
 from paddlequay.observability.counters import Counters
 from paddlequay.protocol.endpoint_watch import EndpointList
 
@@ -72,7 +71,6 @@
     ) -> None:
         self.had: list[int] = []
         self.counts = Counters()
-        self.scheduler = LoopScheduler(asyncio.get_running_loop())  # as this is the exchange, too
         super().__init__(address, cast(Any, self), cast(Any, self), Limits(), self.counts)
         self.then = on_roster or (lambda _: None)
         self.on_endpoint_list = self.roster
